An opaque request's way through a node, and the users' platform behind it

One reducer for opaque requests shares membership and scheduling with the other one; the shell is one thread of non-blocking I/O; the platform's words stand in platform/.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export CCACHE_NOHASHDIR := 1
 PACKAGES := libpoco-dev libflatbuffers-dev flatbuffers-compiler libabsl-dev \
   libspdlog-dev libcpputest-dev prometheus-cpp-dev libtomlplusplus-dev \
-  libxxhash-dev libssl-dev spin ninja-build ccache cmake g++ clang \
+  libxxhash-dev libssl-dev libboost-dev spin ninja-build ccache cmake g++ clang \
   clang-format clang-tidy libclang-rt-14-dev pkg-config python3
 SOURCES = $(shell git ls-files '*.h' '*.cpp' | grep -v generated)
 CMAKE_FLAGS := -G Ninja -DCMAKE_CXX_COMPILER_LAUNCHER=ccache -DHEATHERFORK_WERROR=$(if $(CI),ON,OFF)
--- a/packages/core/include/heatherfork/detail/trace/event_fields.h
+++ b/packages/core/include/heatherfork/detail/trace/event_fields.h
@@ -35,7 +35,9 @@
          Field{ "may_wait", &PlaceRequest::mMayWait },
          Field{ "isolate", &PlaceRequest::mIsolate },
          Field{ "deadline", &PlaceRequest::mDeadline },
-         Field{ "shard", &PlaceRequest::mShard });
+         Field{ "shard", &PlaceRequest::mShard },
+         Field{ "time_left", &PlaceRequest::mTimeLeft },
+         Field{ "target", &PlaceRequest::mTarget });
 
 template<>
 inline constexpr auto kFields<Placed> =
--- a/packages/core/include/heatherfork/peer_message.h
+++ b/packages/core/include/heatherfork/peer_message.h
@@ -44,7 +44,9 @@
   bool mMayWait = false;
   bool mIsolate = false; ///< Suspected of crashing servers: run it alone.
   Instant mDeadline{};
-  ShardId mShard; ///< Filled by the shard chooser.
+  ShardId mShard;       ///< Filled by the shard chooser.
+  Duration mTimeLeft{}; ///< To the deadline, where clocks are not trusted.
+  Duration mTarget{};   ///< For the first token; 0: that of the settings.
   auto operator<=>(const PlaceRequest&) const = default;
 };
 
--- a/packages/core/src/scheduling/shard_scheduler.cpp
+++ b/packages/core/src/scheduling/shard_scheduler.cpp
@@ -187,8 +187,9 @@
                         const PlaceRequest& aPlace)
 {
   const SchedulingSettings& settings = SettingsOf(aContext);
-  const Duration target =
-    Part(settings.mFirstTokenTarget, 100 - settings.mFirstTokenMarginPercent);
+  const Duration asked =
+    aPlace.mTarget > Duration{} ? aPlace.mTarget : settings.mFirstTokenTarget;
+  const Duration target = Part(asked, 100 - settings.mFirstTokenMarginPercent);
   Waiting waiting{ aFrom, aPlace };
   waiting.mPriority = mPriorities[aPlace.mClass];
   waiting.mArrivedAt = aContext.mNow;
--- a/packages/node/include/heatherfork/detail/settings/settings_reader.h
+++ b/packages/node/include/heatherfork/detail/settings/settings_reader.h
@@ -41,6 +41,12 @@
   void Read(const char* aKey, int& aValue, Range aRange);
   void Read(const char* aKey, std::size_t& aValue, Range aRange);
   void ReadMilliseconds(const char* aKey, Duration& aValue, Range aRange);
+
+  /// A number with or without a fraction.
+  void Read(const char* aKey, double& aValue, Range aRange);
+
+  /// Seconds, with or without a fraction.
+  void ReadSeconds(const char* aKey, Duration& aValue, Range aRange);
   void ReadOneOf(const char* aKey,
                  std::string& aValue,
                  const std::vector<std::string>& aAllowed);
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,6 +1,7 @@
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -13,8 +14,11 @@
 #include <spdlog/spdlog.h>
 
 #include "heatherfork/node.h"
+#include "heatherfork/relay_node.h"
+#include "heatherfork/relay_settings_file.h"
 #include "heatherfork/settings.h"
 #include "heatherfork/version.h"
+#include "platform/wire.h"
 
 ABSL_FLAG(std::string, settings, "", "Path of the settings file, in TOML.");
 ABSL_FLAG(bool, check, false, "Check the settings file and exit.");
@@ -36,8 +40,8 @@
   return "heatherfork " + std::string(Version()) + "\n";
 }
 
-std::optional<Settings>
-LoadSettings(const std::string& aPath)
+std::optional<std::string>
+ReadFile(const std::string& aPath)
 {
   std::ifstream file(aPath);
   if (!file) {
@@ -46,23 +50,25 @@
   }
   std::ostringstream text;
   text << file.rdbuf();
-  const SettingsResult result = ReadSettings(text.str());
-  for (const SettingsMistake& mistake : result.mMistakes) {
+  return text.str();
+}
+
+bool
+AreNone(const std::vector<SettingsMistake>& aMistakes, const std::string& aPath)
+{
+  for (const SettingsMistake& mistake : aMistakes) {
     std::cerr << ToString(mistake, aPath) << "\n";
   }
-  if (!result.mMistakes.empty()) {
-    return std::nullopt;
-  }
-  return result.mSettings;
+  return aMistakes.empty();
 }
 
 void
-DrawIncarnation(Settings& aSettings)
+DrawIncarnation(NodeSettings& aNode)
 {
   std::random_device device;
   std::uniform_int_distribution<std::uint64_t> any(1);
-  aSettings.mNode.mSelf.mIncarnation = any(device);
-  aSettings.mNode.mSeed = any(device);
+  aNode.mSelf.mIncarnation = any(device);
+  aNode.mSeed = any(device);
 }
 
 void
@@ -81,47 +87,108 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   return signals;
 }
 
-} // namespace
-
+// Waits for a stop signal. SIGHUP stops nothing; aOnReload hears of it.
 int
-main(int aCount, char** aArguments)
+WaitForStop(const sigset_t& aSignals, const std::function<void()>& aOnReload)
 {
-  absl::SetProgramUsageMessage(
-    "heatherfork --settings FILE\n"
-    "Runs one node. SIGTERM begins a planned stop; exit status 0 after it,\n"
-    "1 when an address can't be listened on, 2 when the settings are wrong.");
-  absl::FlagsUsageConfig usage;
-  usage.version_string = VersionString;
-  absl::SetFlagsUsageConfig(usage);
-  absl::ParseCommandLine(aCount, aArguments);
+  int signal = 0;
+  do {
+    sigwait(&aSignals, &signal);
+    if (signal == SIGHUP) {
+      aOnReload();
+    }
+  } while (signal == SIGHUP);
+  return signal;
+}
 
-  auto settings = LoadSettings(absl::GetFlag(FLAGS_settings));
-  if (!settings) {
+int
+RunRelay(const std::string& aToml, const std::string& aPath, bool aCheck)
+{
+  RelaySettingsResult read = ReadRelaySettings(aToml);
+  if (!AreNone(read.mMistakes, aPath)) {
     return kExitUsage;
   }
-  if (absl::GetFlag(FLAGS_check)) {
+  if (aCheck) {
     return kExitOk;
   }
-  DrawIncarnation(*settings);
-  SetUpLog(settings->mLogLevel);
+  NodeSettings& self = read.mSettings.mNode;
+  DrawIncarnation(self);
+  // A name for each life: clocks that step can't order two lives of one name.
+  std::ostringstream name;
+  name << self.mSelf.mName.mValue << "." << std::hex
+       << (self.mSelf.mIncarnation & 0xffffffff);
+  self.mSelf.mName.mValue = name.str();
   const sigset_t signals = BlockStopSignals();
+  const platform::Wire wire;
+  RelayNode node(read.mSettings, wire);
+  const absl::Status started = node.Start();
+  if (!started.ok()) {
+    std::cerr << started.message() << "\n";
+    return kExitUnavailable;
+  }
+  WaitForStop(signals, [&node] { node.NoteReload(); });
+  node.RequestStop();
+  node.WaitUntilStopped();
+  return kExitOk;
+}
 
-  Node node(*settings);
+int
+RunNode(const std::string& aToml, const std::string& aPath, bool aCheck)
+{
+  SettingsResult read = ReadSettings(aToml);
+  if (!AreNone(read.mMistakes, aPath)) {
+    return kExitUsage;
+  }
+  if (aCheck) {
+    return kExitOk;
+  }
+  Settings& settings = read.mSettings;
+  DrawIncarnation(settings.mNode);
+  SetUpLog(settings.mLogLevel);
+  const sigset_t signals = BlockStopSignals();
+  Node node(settings);
   const absl::Status started = node.Start();
   if (!started.ok()) {
     spdlog::error("{}", std::string(started.message()));
     return kExitUnavailable;
   }
-  int signal = 0;
-  sigwait(&signals, &signal);
+  const int signal =
+    WaitForStop(signals, [] { spdlog::info("reload: settings hold"); });
   spdlog::info("planned stop: signal={}", signal);
   node.RequestStop();
   node.WaitUntilStopped();
   spdlog::info("planned stop complete");
   return kExitOk;
 }
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  absl::SetProgramUsageMessage(
+    "heatherfork --settings FILE\n"
+    "Runs one node; a table [relay] in its settings makes it relay opaque\n"
+    "requests between callers and replicas that a platform lists. SIGTERM "
+    "begins a planned stop; exit status 0 after it,\n"
+    "1 when an address can't be listened on, 2 when the settings are wrong.");
+  absl::FlagsUsageConfig usage;
+  usage.version_string = VersionString;
+  absl::SetFlagsUsageConfig(usage);
+  absl::ParseCommandLine(aCount, aArguments);
+
+  const std::string path = absl::GetFlag(FLAGS_settings);
+  const std::optional<std::string> toml = ReadFile(path);
+  if (!toml) {
+    return kExitUsage;
+  }
+  const bool check = absl::GetFlag(FLAGS_check);
+  return IsRelaySettings(*toml) ? RunRelay(*toml, path, check)
+                                : RunNode(*toml, path, check);
+}
--- /dev/null
+++ b/packages/node/src/settings/relay_settings.cpp
@@ -0,0 +1,107 @@
+#include "heatherfork/relay_settings_file.h"
+
+#include "heatherfork/detail/settings/settings_reader.h"
+
+namespace heatherfork {
+
+namespace {
+
+using detail::Presence;
+using detail::Range;
+using detail::SettingsReader;
+
+constexpr std::int64_t kMinute = 60000;
+constexpr std::size_t kShortestKey = 16;
+
+void
+ReadNode(const toml::table& aTable, RelaySettingsResult& aResult)
+{
+  SettingsReader reader(aTable, "node.", aResult.mMistakes);
+  RelayNodeSettings& settings = aResult.mSettings;
+  NodeSettings& node = settings.mNode;
+  reader.Read("name", node.mSelf.mName.mValue, Presence::kRequired);
+  reader.Read("zone", node.mZone.mValue, Presence::kRequired);
+  reader.Read("caller_address", node.mCallerAddress, Presence::kRequired);
+  reader.Read("peer_address", node.mPeerAddress, Presence::kRequired);
+  settings.mCallers = node.mCallerAddress;
+  settings.mPeerListen = node.mPeerAddress;
+  reader.Read("seeds", node.mSeeds);
+  reader.Read("info_addresses", settings.mInfo);
+  reader.Finish();
+}
+
+void
+ReadKeys(const toml::table& aTable, RelaySettingsResult& aResult)
+{
+  SettingsReader reader(aTable, "keys.", aResult.mMistakes);
+  std::string& key = aResult.mSettings.mPeerKey;
+  reader.Read("peer", key, Presence::kRequired);
+  reader.Finish();
+  if (!key.empty() && key.size() < kShortestKey) {
+    aResult.mMistakes.push_back(
+      SettingsMistake{ 0, "keys.peer", "a key of at least 16 characters" });
+  }
+}
+
+void
+ReadRelay(const toml::table& aTable, RelaySettingsResult& aResult)
+{
+  SettingsReader reader(aTable, "relay.", aResult.mMistakes);
+  RelaySettings& relay = aResult.mSettings.mRelay;
+  double slack = 0;
+  reader.Read("store", aResult.mSettings.mStore, Presence::kRequired);
+  reader.Read("retry_budget_ratio", relay.mRetryRatio, Range{ 0, 10 });
+  reader.Read("retry_budget_slack", slack, Range{ 0, 1000000 });
+  relay.mRetrySlack = static_cast<int>(slack);
+  reader.ReadSeconds("retry_window_s", relay.mRetryWindow, Range{ 1, 600 });
+  reader.ReadSeconds("grace_s", relay.mGrace, Range{ 1, 600 });
+  reader.ReadMilliseconds(
+    "entries_validity_ms", relay.mEntriesValidity, Range{ 1000, kMinute });
+  reader.Finish();
+}
+
+void
+ReadLog(const toml::table& aTable, RelaySettingsResult& aResult)
+{
+  SettingsReader reader(aTable, "log.", aResult.mMistakes);
+  reader.ReadOneOf("level",
+                   aResult.mSettings.mLogLevel,
+                   { "debug", "info", "warning", "error" });
+  reader.Finish();
+}
+
+} // namespace
+
+bool
+IsRelaySettings(const std::string& aToml)
+{
+  try {
+    return toml::parse(aToml).contains("relay");
+  } catch (const toml::parse_error&) {
+    return false; // The reader of the other kind reports it.
+  }
+}
+
+RelaySettingsResult
+ReadRelaySettings(const std::string& aToml)
+{
+  RelaySettingsResult result;
+  toml::table table;
+  try {
+    table = toml::parse(aToml);
+  } catch (const toml::parse_error& ec) {
+    const int line = static_cast<int>(ec.source().begin.line);
+    result.mMistakes.push_back(SettingsMistake{
+      line, "", "TOML, but " + std::string(ec.description()) });
+    return result;
+  }
+  SettingsReader reader(table, "", result.mMistakes);
+  ReadNode(reader.Table("node"), result);
+  ReadKeys(reader.Table("keys"), result);
+  ReadRelay(reader.Table("relay"), result);
+  ReadLog(reader.Table("log"), result);
+  reader.Finish();
+  return result;
+}
+
+} // namespace heatherfork
--- a/packages/node/src/settings/settings_reader.cpp
+++ b/packages/node/src/settings/settings_reader.cpp
@@ -122,6 +122,36 @@
   }
 }
 
+void
+SettingsReader::Read(const char* aKey, double& aValue, Range aRange)
+{
+  const toml::node* node = Get(aKey);
+  if (node == nullptr) {
+    return;
+  }
+  const auto value = node->value<double>();
+  const auto lowest = static_cast<double>(aRange.mLowest);
+  const auto highest = static_cast<double>(aRange.mHighest);
+  if (!node->is_number() || !value || !(*value >= lowest) ||
+      !(*value <= highest)) {
+    Report(aKey,
+           node,
+           "a number from " + std::to_string(aRange.mLowest) + " to " +
+             std::to_string(aRange.mHighest));
+    return;
+  }
+  aValue = *value;
+}
+
+void
+SettingsReader::ReadSeconds(const char* aKey, Duration& aValue, Range aRange)
+{
+  constexpr double kMicroseconds = 1e6;
+  double seconds = static_cast<double>(aValue.count()) / kMicroseconds;
+  Read(aKey, seconds, aRange);
+  aValue = Duration(static_cast<std::int64_t>(seconds * kMicroseconds));
+}
+
 void
 SettingsReader::ReadOneOf(const char* aKey,
                           std::string& aValue,
--- a/packages/peer/src/codec/fields.h
+++ b/packages/peer/src/codec/fields.h
@@ -114,7 +114,7 @@
   aDirection(aCore.mIndex, aWire.index);
 }
 
-static_assert(detail::trace::CountFields<PlaceRequest>() == 14);
+static_assert(detail::trace::CountFields<PlaceRequest>() == 16);
 template<class Direction, Of<PlaceRequest> Core, Of<wire::PlaceRequestT> Wire>
 void
 MapFields(Direction& aDirection, Core& aCore, Wire& aWire)
@@ -133,6 +133,8 @@
   aDirection(aCore.mIsolate, aWire.isolate);
   aDirection(aCore.mDeadline, aWire.deadline);
   aDirection(aCore.mShard, aWire.shard);
+  aDirection(aCore.mTimeLeft, aWire.time_left);
+  aDirection(aCore.mTarget, aWire.target);
 }
 
 static_assert(detail::trace::CountFields<Placed>() == 5);
--- /dev/null
+++ b/packages/relay/src/io_loop.cpp
@@ -0,0 +1,140 @@
+#include "heatherfork/detail/relay/io_loop.h"
+
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cstdlib>
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace heatherfork::relay {
+
+namespace {
+
+constexpr int kMostReady = 128; // Descriptors handled in one turn.
+
+std::uint32_t
+EventsOf(IoInterest aInterest)
+{
+  std::uint32_t events = 0;
+  events |= aInterest.mRead ? static_cast<std::uint32_t>(EPOLLIN) : 0;
+  events |= aInterest.mWrite ? static_cast<std::uint32_t>(EPOLLOUT) : 0;
+  return events;
+}
+
+std::uint64_t
+TagOf(int aDescriptor, std::uint32_t aLife)
+{
+  return std::uint64_t{ aLife } << 32 | static_cast<std::uint32_t>(aDescriptor);
+}
+
+} // namespace
+
+Instant
+SteadyNow()
+{
+  const auto now = std::chrono::steady_clock::now().time_since_epoch();
+  return Instant(std::chrono::duration_cast<Duration>(now));
+}
+
+IoLoop::IoLoop()
+  : mPoll(epoll_create1(EPOLL_CLOEXEC))
+  , mWake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+{
+  if (mPoll < 0 || mWake < 0) {
+    std::abort(); // No descriptors at the start: nothing can run.
+  }
+  epoll_event event{};
+  event.events = EPOLLIN;
+  event.data.u64 = TagOf(mWake, 0);
+  epoll_ctl(mPoll, EPOLL_CTL_ADD, mWake, &event);
+}
+
+IoLoop::~IoLoop()
+{
+  close(mWake);
+  close(mPoll);
+}
+
+void
+IoLoop::Set(int aDescriptor, IoInterest aInterest, IoHandler& aHandler)
+{
+  const auto [it, isNew] = mEntries.try_emplace(aDescriptor);
+  Entry& entry = it->second;
+  if (isNew) {
+    entry.mLife = ++mLives;
+  } else if (entry.mInterest == aInterest && entry.mHandler == &aHandler) {
+    return;
+  }
+  entry.mHandler = &aHandler;
+  entry.mInterest = aInterest;
+  epoll_event event{};
+  event.events = EventsOf(aInterest);
+  event.data.u64 = TagOf(aDescriptor, entry.mLife);
+  epoll_ctl(
+    mPoll, isNew ? EPOLL_CTL_ADD : EPOLL_CTL_MOD, aDescriptor, &event);
+}
+
+void
+IoLoop::Remove(int aDescriptor)
+{
+  if (mEntries.erase(aDescriptor) > 0) {
+    epoll_ctl(mPoll, EPOLL_CTL_DEL, aDescriptor, nullptr);
+  }
+}
+
+void
+IoLoop::Wait(Duration aLimit)
+{
+  std::array<epoll_event, kMostReady> ready{};
+  const auto limit = static_cast<int>((aLimit.count() + 999) / 1000);
+  const int count = epoll_wait(mPoll, ready.data(), kMostReady, limit);
+  for (int n = 0; n < count; ++n) {
+    const epoll_event& event = ready[static_cast<std::size_t>(n)];
+    const auto descriptor = static_cast<int>(event.data.u64 & 0xffffffffU);
+    if (descriptor == mWake) {
+      std::uint64_t value = 0;
+      while (read(mWake, &value, sizeof(value)) > 0) {
+      }
+      continue;
+    }
+    const auto it = mEntries.find(descriptor);
+    const auto life = static_cast<std::uint32_t>(event.data.u64 >> 32);
+    if (it == mEntries.end() || it->second.mLife != life) {
+      continue; // Removed by a handler before it in this turn.
+    }
+    it->second.mHandler->OnIo((event.events & EPOLLIN) != 0,
+                              (event.events & EPOLLOUT) != 0,
+                              (event.events & (EPOLLERR | EPOLLHUP)) != 0);
+  }
+  RunPosted();
+}
+
+void
+IoLoop::Post(std::function<void()> aFunction)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mPosted.push_back(std::move(aFunction));
+  }
+  const std::uint64_t one = 1;
+  // A full counter wakes the loop as well.
+  [[maybe_unused]] const auto written = write(mWake, &one, sizeof(one));
+}
+
+void
+IoLoop::RunPosted()
+{
+  std::vector<std::function<void()>> posted;
+  {
+    const std::lock_guard lock(mMutex);
+    posted.swap(mPosted);
+  }
+  for (const auto& function : posted) {
+    function();
+  }
+}
+
+} // namespace heatherfork::relay
