Fresh connections are closed after their call

Cause: each call that must not repeat left its connection in the pool; all nodes together went over the replicas' cap and 182 connections were reset.

--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -197,6 +197,10 @@
 {
   const RelayResult result = ResultOf();
   ServerConnectionPtr server = std::move(mServer);
+  if (mCall->mFresh) {
+    // Kept ones of all nodes together would use up the replica's connections.
+    server->Abandon();
+  }
   mContext.mPool.Give(std::move(server));
   End(result);
 }
