--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -122,6 +122,13 @@
     @staticmethod
     def reply(handler, status, body):
         text = json.dumps(body).encode()
+        try:
+            FakeStore.write(handler, status, text)
+        except OSError:
+            pass  # The node has closed; the stand-in has nothing to check then.
+
+    @staticmethod
+    def write(handler, status, text):
         handler.send_response(status)
         handler.send_header("Content-Type", "application/json")
         handler.send_header("Content-Length", str(len(text)))
--- /dev/null
+++ b/tests/relay/relay_nodes.py
@@ -0,0 +1,203 @@
+"""Relaying nodes as processes, before stand-ins of the platform."""
+import os
+import signal
+import socket
+import subprocess
+import tempfile
+import time
+from pathlib import Path
+
+from fake_replica import FakeReplica
+from fake_store import FakeStore
+
+BUILD = Path(os.environ.get("HEATHERFORK_BUILD", Path(__file__).resolve().parents[2] / "build"))
+# Only keeps a broken test from running for ever; no outcome depends on it.
+GIVE_UP_SECONDS = 30
+
+
+def free_ports(count):
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def route(prefix, service, kind, **more):
+    fields = {
+        "Name": "r" + prefix.replace("/", "-"),
+        "Host": "h.example",
+        "PathPrefix": prefix,
+        "Kind": kind,
+        "TimeoutMs": 4000,
+        "TargetLatencyMs": 900,
+        "Priority": 1,
+        "Service": service,
+        "MaxAttempts": 2,
+        "Sticky": False,
+        "Resumable": False,
+        "TargetGapMs": 300,
+    }
+    fields.update(more)
+    return fields
+
+
+def configuration(version, **limits):
+    bounds = {
+        "MaxHeaderBytes": 4096,
+        "MaxBodyBytes": 100000,
+        "HeaderTimeoutMs": 700,
+        "IdleTimeoutMs": 15000,
+    }
+    bounds.update(limits)
+    return {
+        "Version": version,
+        "Routes": [
+            route("/once/", "desk", "non_idempotent", MaxAttempts=1),
+            route("/often/", "desk", "idempotent"),
+            route("/stream/", "llm", "stream", MaxAttempts=1),
+            route("/resumable/", "llm", "stream", Resumable=True),
+        ],
+        "Services": [
+            {"Name": "desk", "HealthPath": "/health", "MaxConnections": 100},
+            {
+                "Name": "llm",
+                "HealthPath": "/health",
+                "MaxConnections": 100,
+                "Engine": {"Slots": 8, "KvCapacityTokens": 100000},
+            },
+        ],
+        "Limits": bounds,
+    }
+
+
+class Node:
+    def __init__(self, name, store, seed=None, unread=False):
+        self.front, self.control, self.info = free_ports(3)
+        self.address = "127.0.0.1:%d" % self.control
+        self.folder = tempfile.TemporaryDirectory()
+        self.log_path = Path(self.folder.name) / "log"
+        settings = Path(self.folder.name) / "local.toml"
+        settings.write_text(
+            f"""
+[node]
+name = "{name}"
+zone = "a"
+caller_address = "127.0.0.1:{self.front}"
+peer_address = "{self.address}"
+seeds = ["{seed or self.address}"]
+info_addresses = ["127.0.0.1:{self.info}"]
+[keys]
+peer = "a key between the nodes"
+[relay]
+store = "{store}"
+retry_budget_ratio = 0.2
+retry_budget_slack = 1000
+retry_window_s = 10
+grace_s = 8.0
+"""
+        )
+        with open(self.log_path, "wb") as log:
+            self.process = subprocess.Popen(
+                [BUILD / "packages/node/heatherfork", "--settings", settings],
+                stdout=subprocess.PIPE if unread else log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def log(self):
+        return self.log_path.read_text()
+
+    def is_ready(self):
+        try:
+            return self.call(self.info, b"GET /heatherfork/ready HTTP/1.1\r\nHost: x\r\n\r\n")[0] == 200
+        except OSError:
+            return False
+
+    def wait_ready(self):
+        wait_until(self.is_ready)
+
+    def call(self, port, raw, timeout=8):
+        """Sends bytes and reads until the answer is whole or the end."""
+        with socket.create_connection(("127.0.0.1", port), timeout) as connection:
+            connection.sendall(raw)
+            return read_answer(connection)
+
+    def ask(self, path, own="r1", body=b"hello", more="", method="POST"):
+        return self.call(self.front, request(path, own, body, more, method))
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGKILL)
+        self.process.wait()
+        if self.process.stdout:
+            self.process.stdout.close()
+        self.folder.cleanup()
+
+
+def request(path, own="r1", body=b"hello", more="", method="POST"):
+    head = f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nRequest-Id: {own}\r\n"
+    head += f"Deadline-Ms: 6000\r\n{more}Content-Length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def read_answer(connection):
+    """(status, fields, body, whole) of one answer."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = connection.recv(65536)
+        if not more:
+            return (0, {}, data, False)
+        data += more
+    head, data = data.split(b"\r\n\r\n", 1)
+    lines = head.decode().split("\r\n")
+    fields = dict(line.split(": ", 1) for line in lines[1:])
+    chunked = fields.get("Transfer-Encoding") == "chunked"
+
+    def is_whole():
+        if chunked:
+            return data.endswith(b"0\r\n\r\n")
+        return len(data) >= int(fields.get("Content-Length", 0))
+
+    while not is_whole():
+        try:
+            more = connection.recv(65536)
+        except ConnectionError:
+            more = b""
+        if not more:
+            break
+        data += more
+    return (int(lines[0].split()[1]), fields, data, is_whole())
+
+
+def wait_until(condition):
+    end = time.monotonic() + GIVE_UP_SECONDS
+    while not condition():
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.02)
+
+
+class Platform:
+    """A store with a configuration and four kinds of replica."""
+
+    def __init__(self):
+        self.store = FakeStore()
+        self.desks = [FakeReplica("i-desk%d" % n) for n in range(2)]
+        self.prefill = FakeReplica("i-pre", "prefill")
+        self.decodes = [FakeReplica("i-dec%d" % n, "decode") for n in range(2)]
+        self.store.put("op/config", configuration(3))
+        for replica in self.desks:
+            self.store.put("servers/" + replica.name, replica.entry("desk"))
+        for replica in [self.prefill, *self.decodes]:
+            self.store.put("servers/" + replica.name, replica.entry("llm"))
+
+    def fault(self, replicas, *faults):
+        for replica in replicas:
+            replica.faults = list(faults)
+
+    def arrived(self, own):
+        return [
+            fields
+            for replica in [*self.desks, self.prefill, *self.decodes]
+            for fields, _ in replica.arrived
+            if fields["Request-Id"] == own
+        ]
--- a/tests/unit-peer-codec.cpp
+++ b/tests/unit-peer-codec.cpp
@@ -105,9 +105,9 @@
     PartRequest{ "digest" },
     PartReply{ "digest", true, "body" },
     CrashReport{ 7, 2, Milliseconds(600000) },
-    PlacementsKept{ { { WholePlaceRequest(), ServerName{ "s" } } } },
     PublishedRequest{ "replicas/", 8 },
     PublishedReply{ "replicas/", 9, { { "replicas/a", "{}", 8 } } },
+    PlacementsKept{ { { WholePlaceRequest(), ServerName{ "s" } } } },
   };
 }
 
--- /dev/null
+++ b/tests/unit-platform.cpp
@@ -0,0 +1,159 @@
+#include "platform/wire.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherfork;
+
+namespace {
+
+using relay::HttpField;
+
+HttpHead
+Head(std::vector<HttpField> aFields)
+{
+  HttpHead head;
+  head.mMethod = "POST";
+  head.mTarget = "/p/x?q=1";
+  head.mFields = std::move(aFields);
+  return head;
+}
+
+const HttpField kHost{ "Host", "h.example" };
+const HttpField kId{ "Request-Id", "r1" };
+const platform::Wire kWire;
+
+} // namespace
+
+TEST_GROUP(Platform){};
+
+TEST(Platform, RequestsThatAreNotPlainAreRefused)
+{
+  struct Row
+  {
+    std::vector<HttpField> mFields;
+    std::string mMessage; ///< Empty: taken.
+  };
+  const Row kRows[] = {
+    { { kHost, kId }, "" },
+    { { kId }, "field \"Host\" is missing" },
+    { { kHost }, "field \"Request-Id\" is missing" },
+    { { kHost, kHost, kId }, "field \"Host\" came 2 times" },
+    { { kHost, kId, kId }, "field \"Request-Id\" came 2 times" },
+    { { kHost, kId, { "Deadline-Ms", "12x" } },
+      "field \"Deadline-Ms\" is no whole number" },
+    { { kHost, kId, { "Token-Usage", "12" } },
+      "field \"Token-Usage\" is no pair of whole numbers" },
+  };
+  for (const Row& row : kRows) {
+    const auto read = kWire.ReadRequest(Head(row.mFields), "body");
+    const auto* error = std::get_if<Error>(&read);
+    STRCMP_EQUAL(row.mMessage.c_str(),
+                 error == nullptr ? "" : error->mMessage.c_str());
+  }
+}
+
+TEST(Platform, ACallCarriesTheCallersFieldsAndOursOnly)
+{
+  StartCall call;
+  call.mServer.mValue = "i-1";
+  call.mStage = RelayStage::kDecode;
+  call.mKvHolder.mValue = "10.0.0.1:80";
+  call.mKvHandle = "k";
+  const std::string text = kWire.WriteCall(Head({ kHost,
+                                                  kId,
+                                                  { "Model", "m" },
+                                                  { "Kv-Hold", "theirs" },
+                                                  { "Kv-Source", "theirs" },
+                                                  { "Pin-Ms", "theirs" },
+                                                  { "Deadline-Ms", "9000" },
+                                                  { "Connection", "x-hop" },
+                                                  { "X-Hop", "theirs" } }),
+                                           "ab",
+                                           call,
+                                           Milliseconds(1200));
+  STRCMP_EQUAL("POST /p/x?q=1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+               "Model: m\r\nDeadline-Ms: 1200\r\nTarget-Instance: i-1\r\n"
+               "Kv-Source: 10.0.0.1:80/k\r\nContent-Length: 2\r\n\r\nab",
+               text.c_str());
+}
+
+TEST(Platform, RepliesSayWhetherTheyAreOursAndWhetherItRan)
+{
+  struct Row
+  {
+    int mStatus;
+    std::vector<HttpField> mFields;
+    ReplyFacts mFacts;
+  };
+  const HttpField sign{ "Response-Signature", "s" };
+  const Row kRows[] = {
+    { 200, { kId, sign }, { true, true, false, false, false } },
+    { 200, { { "Request-Id", "r2" }, sign }, { false, true, false, false, false } },
+    { 200, { sign }, { false, false, false, false, false } },
+    { 200, { kId }, { true, false, false, false, false } },
+    { 503, { { "Not-Executed", "1" } }, { true, false, true, false, false } },
+    { 421, { kId }, { true, false, false, true, false } },
+    { 200,
+      { kId, sign, { "Content-Encoding", "gzip" } },
+      { true, true, false, false, true } },
+  };
+  for (const Row& row : kRows) {
+    HttpHead head = Head(row.mFields);
+    head.mStatus = row.mStatus;
+    const ReplyFacts facts = kWire.ReadReply(head, "r1");
+    CHECK_EQUAL(row.mFacts.mIsOurs, facts.mIsOurs);
+    CHECK_EQUAL(row.mFacts.mIsSigned, facts.mIsSigned);
+    CHECK_EQUAL(row.mFacts.mNotRun, facts.mNotRun);
+    CHECK_EQUAL(row.mFacts.mWrongPlace, facts.mWrongPlace);
+    CHECK_EQUAL(row.mFacts.mIsEncoded, facts.mIsEncoded);
+  }
+}
+
+TEST(Platform, EntriesThatCantBeReadNameNoReplica)
+{
+  struct Row
+  {
+    std::string mValue;
+    std::string mReason; ///< Empty: it names a replica.
+  };
+  const Row kRows[] = {
+    { R"({"Service":"s","Address":"a:1","Zone":"z","Slots":4,"State":"ready"})",
+      "" },
+    { R"({"Service":"s","Address":"a:1","Zone":"z","Slots":4,"State":"draining","Phase":"decode"})",
+      "" },
+    { "\xff\x01", "no JSON" },
+    { R"({"Service":"s","Address":"a:1","Zone":"z","State":"ready"})",
+      "a field is missing or of another type" },
+    { R"({"Service":"s","Address":"a:1","Zone":"z","Slots":"4","State":"ready"})",
+      "a field is missing or of another type" },
+    { R"({"Service":"s","Address":"a:1","Zone":"z","Slots":4,"State":"odd"})",
+      "state \"odd\" is not known" },
+  };
+  for (const Row& row : kRows) {
+    std::string reason;
+    const auto replica = kWire.ReadReplica("servers/i-1", row.mValue, reason);
+    CHECK_EQUAL(row.mReason.empty(), replica.has_value());
+    STRCMP_EQUAL(row.mReason.c_str(), reason.c_str());
+  }
+}
+
+TEST(Platform, AConfigurationIsReadIntoRoutes)
+{
+  std::string reason;
+  const RoutingPtr routing = kWire.ReadRouting(
+    R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",)"
+    R"("Kind":"idempotent","TimeoutMs":1500,"TargetLatencyMs":300,"Priority":2,)"
+    R"("Backends":[{"Service":"s","Weight":9},{"Service":"t","Weight":1}],)"
+    R"("MaxAttempts":2}],"Services":[{"Name":"s","MaxConnections":3,)"
+    R"("Engine":{"KvCapacityTokens":50}}],"Limits":{"MaxHeaderBytes":99}})",
+    reason);
+  CHECK(routing != nullptr);
+  const Route& route = routing->mRoutes.front();
+  CHECK_EQUAL(7U, routing->mRevision);
+  CHECK(route.mRepeat == RepeatRule::kMayRepeat);
+  CHECK(route.mTarget == Milliseconds(300));
+  CHECK_EQUAL(2U, route.mShares.size());
+  CHECK_EQUAL(50, routing->mServices.front().mTokenCapacity);
+  CHECK_EQUAL(99U, routing->mLimits.mMaxHeaderBytes);
+  CHECK(kWire.ReadRouting("{}", reason) == nullptr);
+}
--- /dev/null
+++ b/tests/unit-relay-messages.cpp
@@ -0,0 +1,184 @@
+#include "heatherfork/detail/relay/event_stream.h"
+#include "heatherfork/detail/relay/http_message.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherfork::relay;
+
+namespace {
+
+constexpr std::size_t kMaxHead = 200;
+constexpr std::size_t kMaxBody = 40;
+
+/// A request's bytes and what the reader must find.
+struct Row
+{
+  std::string mWhat;
+  std::string mBytes;
+  HttpFault mFault;
+  std::string mBody = "";
+  std::string mRest = "";
+};
+
+const std::string kPost = "POST /a HTTP/1.1\r\nHost: h\r\n";
+
+const Row kRequests[] = {
+  { "a length", kPost + "Content-Length: 2\r\n\r\nab", HttpFault::kNone, "ab" },
+  { "chunks",
+    kPost + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+    HttpFault::kNone,
+    "abc" },
+  { "a trailer is no request",
+    kPost + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\nGET",
+    HttpFault::kNone,
+    "",
+    "GET" },
+  { "what follows stays",
+    kPost + "Content-Length: 1\r\n\r\naGET /b",
+    HttpFault::kNone,
+    "a",
+    "GET /b" },
+  { "two lengths",
+    kPost + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nab",
+    HttpFault::kBadHead },
+  { "the same length twice",
+    kPost + "Content-Length: 2\r\nContent-Length: 2\r\n\r\nab",
+    HttpFault::kBadHead },
+  { "length and chunks",
+    kPost + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    HttpFault::kBadHead },
+  { "an unknown coding",
+    kPost + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    HttpFault::kBadHead },
+  { "two codings",
+    kPost + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    HttpFault::kBadHead },
+  { "a length with a sign",
+    kPost + "Content-Length: +2\r\n\r\nab",
+    HttpFault::kBadHead },
+  { "a negative length",
+    kPost + "Content-Length: -1\r\n\r\n",
+    HttpFault::kBadHead },
+  { "a list of lengths",
+    kPost + "Content-Length: 2, 2\r\n\r\nab",
+    HttpFault::kBadHead },
+  { "a blank before the colon",
+    kPost + "Content-Length : 2\r\n\r\nab",
+    HttpFault::kBadHead },
+  { "a folded field", kPost + "X: a\r\n b\r\n\r\n", HttpFault::kBadHead },
+  { "a bare line feed", kPost + "X: a\nY: b\r\n\r\n", HttpFault::kBadHead },
+  { "only bare line feeds", "GET / HTTP/1.1\n\n", HttpFault::kBadHead },
+  { "a bare carriage return", kPost + "X: a\rb\r\n\r\n", HttpFault::kBadHead },
+  { "a NUL in a value",
+    kPost + "X: a" + std::string(1, '\0') + "b\r\n\r\n",
+    HttpFault::kBadHead },
+  { "no name", kPost + ": a\r\n\r\n", HttpFault::kBadHead },
+  { "no colon", kPost + "abc\r\n\r\n", HttpFault::kBadHead },
+  { "a field before the request line",
+    "\r\n" + kPost + "\r\n",
+    HttpFault::kBadHead },
+  { "a bad chunk size",
+    kPost + "Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n0\r\n\r\n",
+    HttpFault::kBadBody },
+  { "a chunk longer than its size",
+    kPost + "Transfer-Encoding: chunked\r\n\r\n1\r\nabcd\r\n0\r\n\r\n",
+    HttpFault::kBadBody },
+  { "a head over the limit",
+    kPost + "X: " + std::string(kMaxHead, 'x') + "\r\n\r\n",
+    HttpFault::kHeadTooLarge },
+  { "a head without end",
+    kPost + "X: " + std::string(kMaxHead, 'x'),
+    HttpFault::kHeadTooLarge },
+  { "a body over the limit",
+    kPost + "Content-Length: 50\r\n\r\n" + std::string(50, 'b'),
+    HttpFault::kBodyTooLarge },
+};
+
+} // namespace
+
+TEST_GROUP(RelayMessages){};
+
+TEST(RelayMessages, RequestsAreReadStrictlyWhole)
+{
+  for (const Row& row : kRequests) {
+    HttpReader reader(HttpReader::Kind::kRequest, kMaxHead, kMaxBody);
+    std::string buffer = row.mBytes;
+    std::string body;
+    reader.Read(buffer, body);
+    CHECK_TEXT(reader.Fault() == row.mFault, row.mWhat.c_str());
+    if (row.mFault == HttpFault::kNone) {
+      CHECK_TEXT(reader.IsDone(), row.mWhat.c_str());
+      STRCMP_EQUAL_TEXT(row.mBody.c_str(), body.c_str(), row.mWhat.c_str());
+      STRCMP_EQUAL_TEXT(row.mRest.c_str(), buffer.c_str(), row.mWhat.c_str());
+    }
+  }
+}
+
+TEST(RelayMessages, RequestsAreReadTheSameByteByByte)
+{
+  for (const Row& row : kRequests) {
+    HttpReader reader(HttpReader::Kind::kRequest, kMaxHead, kMaxBody);
+    std::string buffer;
+    std::string body;
+    for (const char byte : row.mBytes) {
+      buffer += byte;
+      reader.Read(buffer, body);
+    }
+    CHECK_TEXT(reader.Fault() == row.mFault, row.mWhat.c_str());
+    if (row.mFault == HttpFault::kNone) {
+      STRCMP_EQUAL_TEXT(row.mBody.c_str(), body.c_str(), row.mWhat.c_str());
+    }
+  }
+}
+
+TEST(RelayMessages, ResponsesEndOnlyWhereTheySay)
+{
+  struct Answer
+  {
+    std::string mBytes;
+    bool mDoneBefore; ///< Before the connection's end.
+    bool mDoneAfter;
+  };
+  const Answer kAnswers[] = {
+    { "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", true, true },
+    { "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", false, false },
+    { "HTTP/1.1 200 OK\r\n\r\nab", false, true },
+    { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+      false,
+      false },
+    { "HTTP/1.1 204 No Content\r\n\r\n", true, true },
+    { "garbage", false, false },
+  };
+  for (const Answer& row : kAnswers) {
+    HttpReader reader(HttpReader::Kind::kResponse, kMaxHead, kMaxBody);
+    std::string buffer = row.mBytes;
+    std::string body;
+    reader.Read(buffer, body);
+    CHECK_EQUAL_TEXT(row.mDoneBefore, reader.IsDone(), row.mBytes.c_str());
+    reader.ReadEnd();
+    CHECK_EQUAL_TEXT(row.mDoneAfter, reader.IsDone(), row.mBytes.c_str());
+  }
+}
+
+TEST(RelayMessages, FieldsOfOneConnectionAreNotPassedOn)
+{
+  HttpHead head;
+  head.mFields = { { "Connection", "close, X-Own" } };
+  CHECK(IsHopByHop(head, "x-own"));
+  CHECK(IsHopByHop(head, "transfer-encoding"));
+  CHECK_FALSE(IsHopByHop(head, "Content-Type"));
+}
+
+TEST(RelayMessages, OnlyWholeEventsAreTaken)
+{
+  EventStream stream;
+  stream.Add("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\nda");
+  const auto first = stream.Take();
+  const auto second = stream.Take();
+  CHECK(first.has_value() && second.has_value());
+  STRCMP_EQUAL("1", first->mId.c_str());
+  STRCMP_EQUAL("id: 1\ndata: a\n\n", first->mBytes.c_str());
+  STRCMP_EQUAL("2", second->mId.c_str());
+  CHECK_FALSE(stream.Take().has_value());
+  CHECK(stream.HasRest());
+}
--- /dev/null
+++ b/tests/unit-relay-requests.cpp
@@ -0,0 +1,434 @@
+#include "heatherfork/detail/relay/replica_book.h"
+#include "heatherfork/detail/relay/retry_share.h"
+#include "heatherfork/detail/relay/route_table.h"
+#include "heatherfork/relay_reducer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherfork;
+
+namespace {
+
+constexpr Instant kStart{ Milliseconds(1000000) };
+
+Route
+RouteOf(const std::string& aPrefix, const std::string& aService)
+{
+  Route route;
+  route.mName = aPrefix;
+  route.mHost = "h";
+  route.mPrefix = aPrefix;
+  route.mTimeout = Milliseconds(5000);
+  route.mTarget = Milliseconds(900);
+  route.mGapTarget = Milliseconds(300);
+  route.mMaxAttempts = 2;
+  route.mShares = { { ServiceName{ aService }, 1 } };
+  return route;
+}
+
+RoutingPtr
+SampleRouting(Revision aRevision)
+{
+  auto routing = std::make_shared<Routing>();
+  routing->mRevision = aRevision;
+  Route once = RouteOf("/once/", "desk");
+  Route often = RouteOf("/often/", "desk");
+  often.mRepeat = RepeatRule::kMayRepeat;
+  Route stream = RouteOf("/stream/", "llm");
+  stream.mIsStream = true;
+  Route resumable = RouteOf("/resumable/", "llm");
+  resumable.mIsStream = true;
+  resumable.mResumable = true;
+  routing->mRoutes = { once, often, stream, resumable };
+  RoutedService desk;
+  desk.mName.mValue = "desk";
+  RoutedService llm;
+  llm.mName.mValue = "llm";
+  llm.mIsEngine = true;
+  llm.mTokenCapacity = 100000;
+  routing->mServices = { desk, llm };
+  return routing;
+}
+
+Replica
+ReplicaOf(const std::string& aName, const std::string& aService, Role aRole)
+{
+  Replica replica;
+  replica.mName.mValue = aName;
+  replica.mService.mValue = aService;
+  replica.mAddress.mValue = aName + ":1";
+  replica.mRole = aRole;
+  replica.mSlots = 4;
+  return replica;
+}
+
+Replicas
+SampleReplicas()
+{
+  return { ReplicaOf("d1", "llm", Role::kDecode),
+           ReplicaOf("d2", "llm", Role::kDecode),
+           ReplicaOf("p1", "llm", Role::kPrefill),
+           ReplicaOf("p2", "llm", Role::kPrefill),
+           ReplicaOf("s1", "desk", Role::kPlain),
+           ReplicaOf("s2", "desk", Role::kPlain) };
+}
+
+/// One node alone, driven by hand.
+class Alone
+{
+public:
+  Alone()
+    : mReducer(Settings(), Relay())
+  {
+    Step(TimerFired{});
+    Step(RoutingRead{ SampleRouting(1) });
+    Step(ReplicasRead{ SampleReplicas() });
+  }
+
+  RelayEffects Step(RelayEventBody aBody, Duration aAfter = Milliseconds(1))
+  {
+    mNow += aAfter;
+    mLast = mReducer.Reduce({ mNow, std::move(aBody) });
+    return mLast;
+  }
+
+  void Ask(const std::string& aPath, Duration aLeft = Milliseconds(4000))
+  {
+    RelayRequest request;
+    request.mId = "r";
+    request.mHost = "h";
+    request.mPath = aPath;
+    request.mLeft = aLeft;
+    request.mPromptTokens = 1000;
+    request.mMaxTokens = 100;
+    Step(RelayArrived{ ++mCaller, request });
+  }
+
+  /// Ends the newest call.
+  void Reply(RelayResult aResult, int aStatus = 0)
+  {
+    RelayEnded ended;
+    ended.mCall = Call()->mCall;
+    ended.mResult = aResult;
+    ended.mStatus = aStatus;
+    ended.mKvHandle = "kv";
+    Step(ended);
+  }
+
+  template<class T>
+  const T* Find() const
+  {
+    for (const RelayEffect& effect : mLast) {
+      if (const auto* found = std::get_if<T>(&effect)) {
+        return found;
+      }
+    }
+    return nullptr;
+  }
+
+  /// The call that the last event began; the one before stays known.
+  const StartCall* Call()
+  {
+    if (const StartCall* call = Find<StartCall>()) {
+      mCall = *call;
+    }
+    return &mCall;
+  }
+
+  RelayReducer mReducer;
+  RelayEffects mLast;
+  Instant mNow = kStart;
+  CallerId mCaller = 0;
+
+private:
+  static NodeSettings Settings()
+  {
+    NodeSettings settings;
+    settings.mSelf = { NodeName{ "n" }, 1 };
+    settings.mCallerAddress.mValue = "n:80";
+    settings.mPeerAddress.mValue = "n:81";
+    return settings;
+  }
+  static RelaySettings Relay()
+  {
+    RelaySettings settings;
+    settings.mRetrySlack = 100;
+    return settings;
+  }
+
+  StartCall mCall;
+};
+
+/// What a caller gets after one reply of a replica.
+enum class Then
+{
+  kAgain,   ///< Sent to another replica.
+  kPassed,  ///< The replica's answer.
+  kNotRun,  ///< A promise that it has not run.
+  kUnknown, ///< A failure that promises nothing.
+};
+
+Then
+After(const Alone& aNode)
+{
+  if (aNode.Find<StartCall>() != nullptr) {
+    return Then::kAgain;
+  }
+  if (aNode.Find<PassAnswer>() != nullptr) {
+    return Then::kPassed;
+  }
+  const auto* refused = aNode.Find<RefuseCaller>();
+  CHECK(refused != nullptr);
+  const int status = InfoOf(refused->mError.mCode).mHttpStatus;
+  return status == 503 || status == 429 ? Then::kNotRun : Then::kUnknown;
+}
+
+} // namespace
+
+TEST_GROUP(RelayRequests){};
+
+TEST(RelayRequests, ARepeatFollowsOnlyWhatAllowsIt)
+{
+  struct Row
+  {
+    std::string mPath;
+    RelayResult mResult;
+    int mStatus;
+    Then mThen;
+  };
+  const Row kRows[] = {
+    { "/once/x", RelayResult::kDone, 200, Then::kPassed },
+    { "/once/x", RelayResult::kRanFailed, 500, Then::kPassed },
+    { "/once/x", RelayResult::kNotRun, 503, Then::kAgain },
+    { "/once/x", RelayResult::kWrongPlace, 421, Then::kAgain },
+    { "/once/x", RelayResult::kNotSent, 0, Then::kAgain },
+    { "/once/x", RelayResult::kBroken, 0, Then::kUnknown },
+    { "/often/x", RelayResult::kRanFailed, 500, Then::kAgain },
+    { "/often/x", RelayResult::kBroken, 0, Then::kAgain },
+  };
+  for (const Row& row : kRows) {
+    Alone node;
+    node.Ask(row.mPath);
+    const ServerName first = node.Call()->mServer;
+    node.Reply(row.mResult, row.mStatus);
+    CHECK_TEXT(After(node) == row.mThen, row.mPath.c_str());
+    if (row.mThen == Then::kAgain) {
+      CHECK(node.Call()->mServer != first);
+    }
+  }
+}
+
+TEST(RelayRequests, WhatMustNotRepeatGoesOnAFreshConnection)
+{
+  Alone node;
+  node.Ask("/once/x");
+  CHECK(node.Call()->mFresh);
+  node.Ask("/often/x");
+  CHECK_FALSE(node.Call()->mFresh);
+}
+
+TEST(RelayRequests, NoMoreReplicasRunItThanTheRouteAllows)
+{
+  Alone node;
+  node.Ask("/often/x");
+  node.Call();
+  node.Reply(RelayResult::kBroken);
+  CHECK(After(node) == Then::kAgain);
+  node.Call();
+  node.Reply(RelayResult::kBroken);
+  CHECK(After(node) == Then::kUnknown);
+}
+
+TEST(RelayRequests, AStreamIsPrefilledThenDecoded)
+{
+  Alone node;
+  node.Ask("/stream/x");
+  CHECK(node.Call()->mStage == RelayStage::kPrefill);
+  const Address holder = node.Call()->mAddress;
+  node.Reply(RelayResult::kDone, 200);
+  CHECK(node.Call()->mStage == RelayStage::kDecode);
+  CHECK(node.Call()->mKvHolder == holder);
+  STRCMP_EQUAL("kv", node.Call()->mKvHandle.c_str());
+}
+
+TEST(RelayRequests, ABrokenStreamGoesOnOnlyWhereItMayBeResumed)
+{
+  for (const bool isResumable : { false, true }) {
+    Alone node;
+    node.Ask(isResumable ? "/resumable/x" : "/stream/x");
+    node.Call();
+    node.Reply(RelayResult::kDone, 200);
+    const RelayCallId call = node.Call()->mCall;
+    node.Step(RelayBegan{ call });
+    RelayEnded broken;
+    broken.mCall = call;
+    broken.mResult = RelayResult::kBroken;
+    broken.mLastEvent = "7";
+    node.Step(broken);
+    CHECK_EQUAL(isResumable, node.Find<StartCall>() != nullptr);
+    CHECK_EQUAL(!isResumable, node.Find<BreakStream>() != nullptr);
+    if (isResumable) {
+      node.Call();
+      node.Reply(RelayResult::kDone, 200);
+      STRCMP_EQUAL("7", node.Call()->mResumeAfter.c_str());
+    }
+  }
+}
+
+TEST(RelayRequests, ACallerThatLeavesStopsItsCall)
+{
+  Alone node;
+  node.Ask("/stream/x");
+  const RelayCallId call = node.Call()->mCall;
+  node.Step(RelayCallerLeft{ node.mCaller });
+  CHECK(node.Find<StopCall>() != nullptr);
+  CHECK(node.Find<StopCall>()->mCall == call);
+  CHECK_EQUAL(0U, node.mReducer.View().mOpenRequests);
+}
+
+TEST(RelayRequests, TheRoutesTimeoutEndsACall)
+{
+  Alone node;
+  node.Ask("/once/x", Milliseconds(9000));
+  node.Call();
+  node.Step(TimerFired{}, Milliseconds(4900));
+  CHECK(node.Find<RefuseCaller>() == nullptr);
+  node.Step(TimerFired{}, Milliseconds(200));
+  CHECK(node.Find<StopCall>() != nullptr);
+  CHECK(After(node) == Then::kUnknown);
+}
+
+TEST(RelayRequests, ALeavingReplicaGetsNothingNew)
+{
+  Alone node;
+  Replicas replicas = SampleReplicas();
+  for (Replica& replica : replicas) {
+    replica.mLeaving = replica.mName.mValue == "s1";
+  }
+  node.Step(ReplicasRead{ replicas });
+  for (int n = 0; n < 4; ++n) {
+    node.Ask("/once/x");
+    STRCMP_EQUAL("s2", node.Call()->mServer.mValue.c_str());
+  }
+}
+
+TEST(RelayRequests, AnOlderRevisionIsNeverTakenBack)
+{
+  Alone node;
+  node.Step(RoutingRead{ SampleRouting(9) });
+  node.Step(RoutingRead{ SampleRouting(8) });
+  CHECK_EQUAL(9U, node.mReducer.View().mRouting->mRevision);
+}
+
+TEST(RelayRequests, WithoutRoutesNothingIsDenied)
+{
+  RelayReducer reducer(NodeSettings{}, RelaySettings{});
+  const RelayEffects effects = reducer.Reduce({ kStart, RelayArrived{ 1, {} } });
+  const auto* refused = std::get_if<RefuseCaller>(&effects.back());
+  CHECK(refused != nullptr);
+  CHECK_EQUAL(503, InfoOf(refused->mError.mCode).mHttpStatus);
+}
+
+TEST(RelayRequests, APlannedStopFinishesWhatIsTakenThenEnds)
+{
+  Alone node;
+  node.Ask("/once/x", Milliseconds(9000));
+  node.Call();
+  node.Step(StopRequested{});
+  CHECK_FALSE(node.mReducer.View().IsReady());
+  node.Step(TimerFired{}, Milliseconds(4000));
+  CHECK(node.Find<ExitProcess>() == nullptr);
+  node.Ask("/once/x");
+  CHECK(After(node) == Then::kNotRun);
+  RelayEnded ended;
+  ended.mCall = { 1, 1 };
+  ended.mResult = RelayResult::kDone;
+  node.Step(ended);
+  CHECK(node.Find<PassAnswer>() != nullptr);
+  node.Step(TimerFired{});
+  CHECK(node.Find<ExitProcess>() != nullptr);
+}
+
+TEST(RelayRequests, TheBudgetOfAServiceIsSplitOverNodes)
+{
+  struct Row
+  {
+    int mRequests;
+    int mSlack;
+    std::size_t mNodes;
+    int mAllowed;
+  };
+  // 0.8 of 0.2 of the requests, half of the slack.
+  const Row kRows[] = {
+    { 0, 0, 1, 0 }, { 100, 0, 1, 16 }, { 100, 0, 8, 16 },
+    { 0, 80, 1, 40 }, { 0, 80, 8, 5 }, { 100, 80, 8, 21 },
+  };
+  for (const Row& row : kRows) {
+    detail::RetryShare share;
+    RelaySettings settings;
+    settings.mRetrySlack = row.mSlack;
+    const ServiceName service{ "s" };
+    for (int n = 0; n < row.mRequests; ++n) {
+      share.OnRequest(kStart, service);
+    }
+    int taken = 0;
+    while (share.Take(kStart, settings, service, row.mNodes)) {
+      ++taken;
+    }
+    CHECK_EQUAL(row.mAllowed, taken);
+    // The window slides.
+    CHECK_EQUAL(
+      row.mSlack / row.mNodes / 2 >= 1,
+      share.Take(
+        kStart + Milliseconds(10001), settings, service, row.mNodes));
+  }
+}
+
+TEST(RelayRequests, TheLongestPrefixOfThePathWins)
+{
+  auto routing = std::make_shared<Routing>();
+  routing->mRoutes = { RouteOf("/", "a"),
+                       RouteOf("/x/", "b"),
+                       RouteOf("/x/y/", "c") };
+  detail::RouteTable table;
+  table.Update(routing);
+  struct Row
+  {
+    std::string mHost;
+    std::string mPath;
+    std::string mPrefix; ///< Empty: no route.
+  };
+  const Row kRows[] = {
+    { "h", "/", "/" },        { "h", "/z", "/" },
+    { "h", "/x", "/" },       { "h", "/x/", "/x/" },
+    { "h", "/x/y", "/x/" },   { "h", "/x/y/z/w", "/x/y/" },
+    { "h", "x/y", "" },       { "other", "/x/y/", "" },
+  };
+  for (const Row& row : kRows) {
+    const Route* route = table.Find(row.mHost, row.mPath);
+    STRCMP_EQUAL_TEXT(row.mPrefix.c_str(),
+                      route == nullptr ? "" : route->mPrefix.c_str(),
+                      row.mPath.c_str());
+  }
+}
+
+TEST(RelayRequests, EntriesThatLapsedWithTheStoreAreHeldForAWhile)
+{
+  detail::ReplicaBook book;
+  book.OnReach(kStart, true);
+  book.OnPublished(kStart, SampleReplicas());
+  // While the store is sound, what vanishes is gone.
+  book.OnPublished(kStart, { SampleReplicas().front() });
+  CHECK_EQUAL(1U, book.InForce().size());
+  book.OnPublished(kStart, SampleReplicas());
+  book.OnReach(kStart, false);
+  const Instant back = kStart + Milliseconds(5000);
+  book.OnReach(back, true);
+  book.OnPublished(back, {});
+  CHECK_EQUAL(6U, book.InForce().size());
+  book.OnPublished(back + Milliseconds(1000), { SampleReplicas().front() });
+  CHECK_FALSE(book.Expire(back + Milliseconds(1500)));
+  CHECK_EQUAL(6U, book.InForce().size());
+  CHECK(book.Expire(back + Milliseconds(2500)));
+  CHECK_EQUAL(1U, book.InForce().size());
+}
