A stopping node cuts nothing before the last sixth of its grace

Ruled out: the flush to other nodes, which is bounded now at 0.5 s. The unit test fails without the change.

--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -22,9 +22,10 @@
 // the stop signal: what comes is taken.
 constexpr Duration kTakesWhileLeaving = Milliseconds(3000);
 
-// Before the end of the grace period: time to write out what is queued for
-// other nodes, which may take a connection's time-out, and to end.
-constexpr Duration kCloseMargin = Milliseconds(1500);
+// The last part of the grace period is for the last words to other nodes and
+// the process's end. Not more: what a replica is still at work on counts as cut
+// too soon before the period's last sixth.
+constexpr int kPartsOfGrace = 10;
 
 const char*
 NameOf(MemberStatus aStatus)
@@ -329,7 +330,7 @@
   }
   const Duration since = aContext.Now() - mLeavingSince;
   const bool isDone = RefusesNew(aContext.Now()) && mRequests.Size() == 0;
-  if (isDone || since >= mRelay.mGrace - kCloseMargin) {
+  if (isDone || since >= mRelay.mGrace - mRelay.mGrace / kPartsOfGrace) {
     mHasExited = true;
     aContext.Emit(
       RelayNote{ "stopped", "", "open=" + std::to_string(mRequests.Size()) });
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -30,6 +30,9 @@
 // A stop signal's callers: the listener closes when new requests are refused.
 constexpr Duration kListensWhileLeaving = Milliseconds(3000);
 
+// Also for the last words when the node stops, within its grace period.
+constexpr Duration kPeerConnectTimeout = Milliseconds(500);
+
 constexpr int kTooEarly = 503;
 
 LogLevel
@@ -72,6 +75,7 @@
   settings.mListen = aSettings.mPeerListen;
   settings.mAdvertise = aSettings.mNode.mPeerAddress;
   settings.mKeys.push_back(aSettings.mPeerKey);
+  settings.mConnectTimeout = kPeerConnectTimeout;
   return settings;
 }
 
--- a/tests/unit-relay-requests.cpp
+++ b/tests/unit-relay-requests.cpp
@@ -39,7 +39,10 @@
   Route resumable = RouteOf("/resumable/", "llm");
   resumable.mIsStream = true;
   resumable.mResumable = true;
-  routing->mRoutes = { once, often, stream, resumable };
+  Route longer = RouteOf("/long/", "llm");
+  longer.mIsStream = true;
+  longer.mTimeout = Milliseconds(20000);
+  routing->mRoutes = { once, often, stream, resumable, longer };
   RoutedService desk;
   desk.mName.mValue = "desk";
   RoutedService llm;
@@ -355,6 +358,21 @@
 
 // Load: decode replicas that refuse after each prefill (BUDGET on a grown
 // site).
+// Load: a rolling replacement with streams that outlast the grace period
+// (LOST).
+TEST(RelayRequests, APlannedStopCutsNothingBeforeTheLastSixthOfTheGrace)
+{
+  Alone node;
+  node.Ask("/long/x", Milliseconds(20000));
+  node.Call();
+  node.Step(StopRequested{});
+  node.Step(TimerFired{}, Milliseconds(8000 * 5 / 6 + 10));
+  CHECK(node.Find<ExitProcess>() == nullptr);
+  CHECK_EQUAL(1U, node.mReducer.View().mOpenRequests);
+  node.Step(TimerFired{}, Milliseconds(1000));
+  CHECK(node.Find<ExitProcess>() != nullptr);
+}
+
 TEST(RelayRequests, ARepeatCostsAllTheCallsThatItMakes)
 {
   struct Row
