--- a/packages/core/include/heatherfork/member.h
+++ b/packages/core/include/heatherfork/member.h
@@ -35,6 +35,10 @@
 /// All known members, ordered by name; this node is one of them.
 using Members = std::vector<Member>;
 
+/// "alive", "suspect", "leaving" or "dead".
+const char*
+ToString(MemberStatus aStatus);
+
 /// The member with this name and incarnation; null when it is unknown.
 const Member*
 FindMember(const Members& aMembers, const NodeId& aNode);
--- a/packages/core/src/member.cpp
+++ b/packages/core/src/member.cpp
@@ -14,4 +14,20 @@
   return it == aMembers.end() ? nullptr : &*it;
 }
 
+const char*
+ToString(MemberStatus aStatus)
+{
+  switch (aStatus) {
+    case MemberStatus::kAlive:
+      return "alive";
+    case MemberStatus::kSuspect:
+      return "suspect";
+    case MemberStatus::kLeaving:
+      return "leaving";
+    case MemberStatus::kDead:
+      return "dead";
+  }
+  return "";
+}
+
 } // namespace heatherfork
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -27,22 +27,6 @@
 // too soon before the period's last sixth.
 constexpr int kPartsOfGrace = 10;
 
-const char*
-NameOf(MemberStatus aStatus)
-{
-  switch (aStatus) {
-    case MemberStatus::kAlive:
-      return "alive";
-    case MemberStatus::kSuspect:
-      return "suspect";
-    case MemberStatus::kLeaving:
-      return "leaving";
-    case MemberStatus::kDead:
-      return "dead";
-  }
-  return "";
-}
-
 } // namespace
 
 struct RelayReducer::State : public detail::MembershipListener
@@ -358,7 +342,7 @@
       aContext.Emit(RelayNote{ "member",
                                "",
                                "node=" + member.mNode.mName.mValue +
-                                 " status=" + NameOf(member.mStatus) });
+                                 " status=" + ToString(member.mStatus) });
     }
   }
   mNoted = members;
@@ -390,8 +374,6 @@
 {
   Effects shared;
   RelayEffects effects;
-  // A copy, so that a change within the event does not end its own view.
-  const ConfigurationPtr configuration = mState->mConfiguration;
   Context context{ mState->mSettings,      aEvent.mAt,
                    mState->mConfiguration, mState->mMembership.All(),
                    mState->mRandom,        shared,
--- a/packages/node/src/http/info_handlers.cpp
+++ b/packages/node/src/http/info_handlers.cpp
@@ -23,22 +23,6 @@
 constexpr int kHttpUnavailable = 503;
 constexpr std::string_view kExplainPath = "/admin/explain/";
 
-const char*
-ToString(MemberStatus aStatus)
-{
-  switch (aStatus) {
-    case MemberStatus::kAlive:
-      return "alive";
-    case MemberStatus::kSuspect:
-      return "suspect";
-    case MemberStatus::kLeaving:
-      return "leaving";
-    case MemberStatus::kDead:
-      return "dead";
-  }
-  return "";
-}
-
 Object::Ptr
 EntryOf(const Member& aMember)
 {
--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -115,8 +115,6 @@
   /// Ends those that wait for a request.
   void CloseIdle();
 
-  std::size_t Open() const { return mConnections.size(); }
-
   void OnIo(bool aReadable, bool aWritable, bool aFailed) override;
 
 private:
--- a/packages/relay/include/heatherfork/detail/relay/line_log.h
+++ b/packages/relay/include/heatherfork/detail/relay/line_log.h
@@ -32,8 +32,6 @@
   /// Writes what can be written now.
   void Flush();
 
-  std::uint64_t Dropped() const { return mDropped; }
-
 private:
   int mDescriptor;
   std::string mNode;
--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -55,7 +55,6 @@
 
   const Address& At() const { return mAddress; }
   bool IsEstablished() const { return mIsEstablished; }
-  Instant StartedAt() const { return mStartedAt; }
 
   /// Waits for the other side's end while idle.
   void WatchIdle(std::function<void(ServerConnection&)> aOnEnd);
@@ -86,7 +85,6 @@
   bool mNoBody = false;
   bool mHasEnded = false;
   Duration mIdleLimit;
-  Instant mStartedAt{};
   ExchangeListener* mListener = nullptr;
   std::function<void(ServerConnection&)> mOnIdleEnd;
   /// False once this object is gone; listeners may destroy it.
@@ -113,8 +111,6 @@
   /// Closes those that were idle for too long.
   void Expire(Instant aNow);
 
-  std::size_t Idle() const { return mIdle.size(); }
-
 private:
   struct Kept
   {
--- a/packages/relay/include/heatherfork/detail/relay/store_reader.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_reader.h
@@ -52,9 +52,6 @@
   /// Whether another node should be asked now: the store does not answer.
   bool WantsPeer(Instant aNow);
 
-  bool IsReached() const { return mIsReached; }
-  std::uint64_t Calls() const { return mCalls; }
-
 private:
   bool OnHead(const HttpHead& aHead) override;
   void OnBody(std::string_view aBytes) override;
@@ -88,7 +85,6 @@
   int mFailures = 0;
   bool mIsReached = false;
   bool mIsWhole = false; ///< All pages were read; the watch goes on from mAt.
-  std::uint64_t mCalls = 0;
   Revision mAt = 0;
   std::string mPageFrom;
   Items mPages; ///< Of the reading that is under way.
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -77,7 +77,6 @@
   mHeadTaken = false;
   mIsSkipping = false;
   mReader.Reset(aNoBody);
-  mStartedAt = SteadyNow();
   if (mDescriptor < 0) {
     mDescriptor = BeginConnect(mAddress);
     if (mDescriptor < 0) {
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -69,7 +69,6 @@
   mCalledAt = aNow;
   mStatus = 0;
   mBody.clear();
-  ++mCalls;
   if (mConnection == nullptr || !mConnection->MayBeReused()) {
     mConnection = std::make_unique<ServerConnection>(mLoop, mStore);
   }
