--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -27,7 +27,6 @@
 {
 public:
   Exchange(ExchangeContext& aContext,
-           CallerId aCaller,
            CallerConnection& aConnection,
            HttpHead aHead,
            std::string aBody,
@@ -62,7 +61,6 @@
   bool KeepsOpen() const;
 
   ExchangeContext& mContext;
-  CallerId mCaller;
   CallerConnection& mConnection;
   HttpHead mHead;
   std::string mRequestBody;
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -32,13 +32,11 @@
 } // namespace
 
 Exchange::Exchange(ExchangeContext& aContext,
-                   CallerId aCaller,
                    CallerConnection& aConnection,
                    HttpHead aHead,
                    std::string aBody,
                    std::string aRequestId)
   : mContext(aContext)
-  , mCaller(aCaller)
   , mConnection(aConnection)
   , mHead(std::move(aHead))
   , mRequestBody(std::move(aBody))
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -348,12 +348,8 @@
   }
   const RelayRequest& request = std::get<RelayRequest>(read);
   const CallerId caller = ++mLastCaller;
-  mExchanges[caller] = std::make_unique<Exchange>(mExchangeContext,
-                                                  caller,
-                                                  aConnection,
-                                                  aHead,
-                                                  std::move(aBody),
-                                                  request.mId);
+  mExchanges[caller] = std::make_unique<Exchange>(
+    mExchangeContext, aConnection, aHead, std::move(aBody), request.mId);
   Post(RelayArrived{ caller, request });
 }
 
