--- a/packages/ctl/include/heatherfork/ctl/command.h
+++ b/packages/ctl/include/heatherfork/ctl/command.h
@@ -25,8 +25,9 @@
 {
   std::ostream& mOut;
   std::ostream& mError;
-  std::string mAdminKeyFile; ///< Empty: no key is sent.
-  Duration mTimeout{};       ///< For each call to a node.
+  std::string mAdminKeyFile;        ///< Empty: no key is sent.
+  Duration mTimeout{};              ///< For each call to a node.
+  std::vector<std::string> mLogs{}; ///< Log files of nodes.
 };
 
 /// One subcommand.
@@ -44,7 +45,13 @@
   /// One line for the list of commands.
   virtual std::string_view Summary() const = 0;
 
-  /// Gets as many arguments as Arguments() names.
+  /// Whether it can be run with so many arguments.
+  virtual bool Takes(std::size_t aArguments, const Console& /*aConsole*/) const
+  {
+    return aArguments == Arguments().size();
+  }
+
+  /// Gets as many arguments as it takes.
   virtual ExitCode Run(const std::vector<std::string>& aArguments,
                        const Console& aConsole) const = 0;
 };
--- a/packages/ctl/src/command.cpp
+++ b/packages/ctl/src/command.cpp
@@ -54,6 +54,9 @@
   detail::PrintTable(
     { { "", "--admin_key_file=FILE", "the key of the admin interface" },
       { "", "--timeout_ms=N", "for each call to a node" },
+      { "",
+        "--log FILE...",
+        "explain from logs: explain --log FILE... REQUEST" },
       { "", "--help", "print this" },
       { "", "--version", "print the version" } },
     text);
@@ -80,7 +83,7 @@
     return ExitCode::kUsage;
   }
   const std::vector<std::string> arguments(aWords.begin() + 1, aWords.end());
-  if (arguments.size() != (*it)->Arguments().size()) {
+  if (!(*it)->Takes(arguments.size(), aConsole)) {
     aConsole.mError << "expected heatherforkctl " << SynopsisOf(**it)
                     << ", found " << arguments.size() << " arguments\n";
     return ExitCode::kUsage;
--- a/packages/ctl/src/commands/explain_command.cpp
+++ b/packages/ctl/src/commands/explain_command.cpp
@@ -1,5 +1,6 @@
 #include "heatherfork/ctl/detail/admin_client.h"
 #include "heatherfork/ctl/detail/commands.h"
+#include "heatherfork/ctl/detail/request_story.h"
 #include "heatherfork/ctl/detail/show.h"
 
 namespace heatherfork::ctl::detail {
@@ -22,9 +23,21 @@
     return "show what the node at ADDRESS decided on REQUEST, and why";
   }
 
+  bool Takes(std::size_t aArguments, const Console& aConsole) const override
+  {
+    return aConsole.mLogs.empty() ? aArguments == Arguments().size()
+                                  : aArguments >= 1;
+  }
+
   ExitCode Run(const std::vector<std::string>& aArguments,
                const Console& aConsole) const override
   {
+    if (!aConsole.mLogs.empty()) {
+      // The first file belongs to the flag, the others follow it.
+      std::vector<std::string> files = aConsole.mLogs;
+      files.insert(files.end(), aArguments.begin(), aArguments.end() - 1);
+      return TellStory(files, aArguments.back(), aConsole);
+    }
     return Show(aArguments.front(),
                 "/admin/explain/" + EscapeSegment(aArguments.back()),
                 aConsole);
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -15,6 +15,10 @@
           admin_key_file,
           "",
           "file that holds the key of the admin interface");
+ABSL_FLAG(std::vector<std::string>,
+          log,
+          {},
+          "logs of nodes: explain --log FILE... REQUEST");
 ABSL_FLAG(int, timeout_ms, 5000, "milliseconds for each call to a node");
 
 namespace {
@@ -64,6 +68,7 @@
     std::cerr,
     absl::GetFlag(FLAGS_admin_key_file),
     heatherfork::Milliseconds(absl::GetFlag(FLAGS_timeout_ms)),
+    absl::GetFlag(FLAGS_log),
   };
   return static_cast<int>(heatherfork::ctl::RunCommand(words, console));
 }
--- /dev/null
+++ b/tests/unit-ctl-story.cpp
@@ -0,0 +1,103 @@
+#include "heatherfork/ctl/detail/request_story.h"
+
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherfork::ctl;
+
+namespace {
+
+// Two nodes whose clocks are an hour apart; a collector put its own time before
+// some lines, and one line was cut off.
+constexpr char kLog[] =
+  "time_ms=1000 level=info node=a.1 event=member node=b.2 status=alive\n"
+  "time_ms=1010 level=info node=a.1 event=taken request=r1 route=x age_ms=0\n"
+  "3.2 a time_ms=1011 level=info node=a.1 event=taken request=r2 route=x\n"
+  "time_ms=1015 level=info node=a.1 event=member node=b.2 status=dead\n"
+  "time_ms=1020 level=warning node=a.1 event=refused request=r1 error=busy\n"
+  "time_ms=1030 level=info node=a.1 event=store-lost reader=routing\n"
+  "time_ms=3601000 level=info node=b.2 event=taken request=r2 route=y\n"
+  "time_ms=360\n"
+  "time_ms=9999999999999999999 level=info node=b.2 event=taken request=r1\n"
+  "something else\n";
+
+std::string
+StoryFrom(const std::string& aRequest)
+{
+  std::istringstream log(kLog);
+  std::map<std::string, detail::LogLines> nodes;
+  detail::ReadLog(log, nodes);
+  return detail::StoryOf(nodes, aRequest);
+}
+
+struct Result
+{
+  ExitCode mCode;
+  std::string mOut;
+  std::string mError;
+};
+
+Result
+Explain(const std::vector<std::string>& aLogs,
+        const std::vector<std::string>& aWords)
+{
+  std::ostringstream out;
+  std::ostringstream error;
+  const Console console{ out, error, "", {}, aLogs };
+  const ExitCode code = RunCommand(aWords, console);
+  return { code, out.str(), error.str() };
+}
+
+} // namespace
+
+TEST_GROUP(CtlStory){};
+
+TEST(CtlStory, ARequestIsToldWithWhatItsNodeLearnt)
+{
+  struct Row
+  {
+    const char* mRequest;
+    const char* mStory;
+  };
+  const Row kRows[] = {
+    { "r1",
+      "at a.1, from time_ms=1010:\n"
+      "       0 ms  taken route=x age_ms=0\n"
+      "       5 ms  (meanwhile) member node=b.2 status=dead\n"
+      "      10 ms  refused error=busy\n" },
+    { "r2",
+      "at a.1, from time_ms=1011:\n"
+      "       0 ms  taken route=x\n"
+      "at b.2, from time_ms=3601000:\n"
+      "       0 ms  taken route=y\n"
+      "each node's times are its own: which node was first is not told\n" },
+    { "r", "" },
+    { "", "" },
+  };
+  for (const Row& row : kRows) {
+    STRCMP_EQUAL(row.mStory, StoryFrom(row.mRequest).c_str());
+  }
+}
+
+TEST(CtlStory, FilesMustBeReadableAndKnowTheRequest)
+{
+  const std::string file = "unit-ctl-story.log";
+  std::ofstream(file) << kLog;
+  const Result told = Explain({ file }, { "explain", file, "r1" });
+  CHECK(told.mCode == ExitCode::kOk);
+  STRCMP_CONTAINS("refused error=busy", told.mOut.c_str());
+  const Result unknown = Explain({ file }, { "explain", "r9" });
+  CHECK(unknown.mCode == ExitCode::kUnreachable);
+  STRCMP_EQUAL("request \"r9\" does not occur in 1 logs\n",
+               unknown.mError.c_str());
+  const Result missing = Explain({ "nowhere.log" }, { "explain", "r1" });
+  CHECK(missing.mCode == ExitCode::kUnreachable);
+  STRCMP_EQUAL("expected a log that can be read, found \"nowhere.log\"\n",
+               missing.mError.c_str());
+  const Result alone = Explain({ file }, { "explain" });
+  CHECK(alone.mCode == ExitCode::kUsage);
+  std::remove(file.c_str());
+}
