Own interface: heads in doubt are refused and end their connection

The library read leniently: two lengths, a length beside chunks, other codings, a sign, blanks before a colon, folded fields, bare line ends and zero bytes were taken as requests; after trailers or a refused length the rest was read as a new request; 10 MB of header got a reset. Now the bytes go through the relay's reader first (one parser for both interfaces), and the library gets each message written anew. 'negative length' was expected as 413; it is 400 now, as the length is no number and the framing is in doubt (as strict: refused, nothing forwarded, and the connection ends).

--- a/packages/core/include/heatherfork/error.h
+++ b/packages/core/include/heatherfork/error.h
@@ -35,6 +35,7 @@
   kSlowSender = 114,
   kBadHttp = 115,
   kKeyRefused = 116,
+  kHeaderTooLarge = 117,
   kTenantLimit = 201,
   kQueueFull = 202,
   kRecordsFull = 203,
--- a/packages/node/include/heatherfork/detail/http/caller_connection.h
+++ b/packages/node/include/heatherfork/detail/http/caller_connection.h
@@ -7,6 +7,7 @@
 #include <Poco/Net/TCPServerConnectionFactory.h>
 
 #include "heatherfork/detail/http/connection_deadlines.h"
+#include "heatherfork/detail/http/strict_stream.h"
 #include "heatherfork/detail/metrics/metrics.h"
 
 /// One caller's connection.
@@ -38,6 +39,9 @@
   void ServeOne(Poco::Net::HTTPServerSession& aSession);
   void RefuseInput(Poco::Net::HTTPServerSession& aSession);
 
+  /// Of this connection's socket, which owns it.
+  StrictStream& Stream();
+
   ConnectionContext mContext;
 };
 
--- a/packages/node/src/http/caller_connection.cpp
+++ b/packages/node/src/http/caller_connection.cpp
@@ -19,11 +19,23 @@
 using Poco::Net::HTTPServerResponseImpl;
 using Poco::Net::HTTPServerSession;
 
+Error
+InputErrorOf(relay::HttpFault aFault)
+{
+  if (aFault == relay::HttpFault::kHeadTooLarge) {
+    return Error{ ErrorCode::kHeaderTooLarge,
+                  "expected a header of at most 32768 bytes" };
+  }
+  return Error{ ErrorCode::kBadHttp,
+                "expected an HTTP/1.1 request with at most 100 header "
+                "fields of at most 8192 bytes, in time" };
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(const Poco::Net::StreamSocket& aSocket,
                                    const ConnectionContext& aContext)
-  : TCPServerConnection(aSocket)
+  : TCPServerConnection(Poco::Net::StreamSocket(new StrictStream(aSocket)))
   , mContext(aContext)
 {
 }
@@ -47,6 +59,12 @@
   }
 }
 
+StrictStream&
+CallerConnection::Stream()
+{
+  return *static_cast<StrictStream*>(socket().impl());
+}
+
 bool
 CallerConnection::HasNextRequest(HTTPServerSession& aSession)
 {
@@ -77,21 +95,25 @@
     response.sendContinue();
   }
   handler->handleRequest(*request, response);
-  aSession.setKeepAlive(keepAlive && response.getKeepAlive());
+  // What was not read of a body must not be read as the next request.
+  aSession.setKeepAlive(keepAlive && response.getKeepAlive() &&
+                        Stream().IsDone());
+  if (!Stream().IsDone()) {
+    Stream().Drain();
+  }
 }
 
 void
 CallerConnection::RefuseInput(HTTPServerSession& aSession)
 {
-  mContext.mMetrics.OnBadInput(ErrorCode::kBadHttp);
+  const Error error = InputErrorOf(Stream().Fault());
+  mContext.mMetrics.OnBadInput(error.mCode);
   try {
     HTTPServerResponseImpl response(aSession);
     response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
     response.setKeepAlive(false);
-    SendError(response,
-              Error{ ErrorCode::kBadHttp,
-                     "expected an HTTP/1.1 request with at most 100 header "
-                     "fields of at most 8192 bytes, in time" });
+    SendError(response, error);
+    Stream().Drain();
   } catch (const std::exception&) {
     // The caller is gone; nothing was forwarded.
   }
