--- /dev/null
+++ b/packages/core/src/relay/relay_notes.cpp
@@ -0,0 +1,27 @@
+#include "heatherfork/detail/relay/relay_notes.h"
+
+namespace heatherfork::detail {
+
+void
+Note(RelayContext& aContext,
+     const char* aEvent,
+     const OpenRequest& aRequest,
+     std::string aText)
+{
+  aText += " age_ms=" +
+           std::to_string(ToMilliseconds(aContext.Now() - aRequest.mArrivedAt));
+  aContext.Emit(RelayNote{ aEvent, aRequest.mRequest.mId, std::move(aText) });
+}
+
+void
+Note(RelayContext& aContext,
+     RelayOutcome aOutcome,
+     const OpenRequest& aRequest,
+     std::string aText)
+{
+  Note(aContext, ToString(aOutcome), aRequest, std::move(aText));
+  aContext.Emit(RelayMeasured{
+    aRequest.mService, aOutcome, aContext.Now() - aRequest.mArrivedAt });
+}
+
+} // namespace heatherfork::detail
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -3,7 +3,6 @@
 #include <condition_variable>
 #include <deque>
 #include <mutex>
-#include <random>
 #include <thread>
 
 #include <unistd.h>
@@ -12,10 +11,9 @@
 #include "heatherfork/detail/relay/exchange.h"
 #include "heatherfork/detail/relay/line_log.h"
 #include "heatherfork/detail/relay/relay_metrics.h"
-#include "heatherfork/detail/relay/store_reader.h"
+#include "heatherfork/detail/relay/store_watch.h"
 #include "heatherfork/peer_transport.h"
 #include "heatherfork/relay_reducer.h"
-#include "heatherfork/store_readers.h"
 
 namespace heatherfork {
 
@@ -57,25 +55,6 @@
   return isFailure ? LogLevel::kWarning : LogLevel::kInfo;
 }
 
-// Members change seldom; a reader that is lost is missed before this.
-constexpr Duration kChooseInterval = Milliseconds(100);
-
-// The pace of reading that keeps a bound on the age of news, also when a
-// connection has gone silent: wait, time-out and pause together stay below it.
-// Nodes that others read for are told in each period of the watch, and ask for
-// themselves early enough for one call that times out.
-StorePace
-PaceWithin(Duration aBound, Duration aPause)
-{
-  const Duration period = aBound * 3 / 8;
-  StorePace pace;
-  pace.mPause = aPause;
-  pace.mWait = period - aPause;
-  pace.mTimeout = aBound * 2 / 5;
-  pace.mFresh = aBound / 2;
-  return pace;
-}
-
 PeerTransportSettings
 TransportSettings(const RelayNodeSettings& aSettings)
 {
@@ -132,14 +111,6 @@
   void On(const SendToPeer& aEffect);
   void On(const ExitProcess& aEffect);
 
-  void OnRoutingItems(const StoreReader::Items& aItems);
-  void OnReplicaItems(const StoreReader::Items& aItems);
-  void AskPeer(StoreReader& aReader);
-  bool TakePublished(const NodeId& aFrom, const PeerMessage& aMessage);
-  void ChooseReaders(Instant aNow);
-  void TellOthers(const StoreReader& aReader, const StoreNews& aNews);
-  StoreReader* ReaderOf(const std::string& aPrefix);
-  void OnReach(const char* aWhat, bool aReached, const std::string& aReason);
   bool AnswerInfo(CallerConnection& aConnection, const HttpHead& aHead);
   std::string MetricsText();
 
@@ -155,16 +126,12 @@
   RelayMetrics mMetrics;
   MetricsListener mMetricsListener;
   CallerPort mMetricsPort;
-  bool mReadsForOthers = true;
-  Instant mChooseAt{};
-  StoreReader mRouting;
-  StoreReader mReplicas;
   PeerTransport mPeers;
+  StoreWatch mStore;
   std::deque<RelayEventBody> mEvents;
   std::map<CallerId, std::unique_ptr<Exchange>> mExchanges;
   std::vector<std::unique_ptr<Exchange>> mEnded;
   std::vector<std::unique_ptr<ExchangeListener>> mFreeing;
-  std::mt19937_64 mRandom;
   CallerId mLastCaller = 0;
   Instant mNextTimer{};
   Instant mLeavingSince{};
@@ -190,43 +157,19 @@
   , mCallers(mLoop, *this)
   , mMetricsListener([this] { return MetricsText(); })
   , mMetricsPort(mLoop, mMetricsListener)
-  , mRouting(
-      mLoop,
-      mWire,
-      mSettings.mStore,
-      mWire.RoutingKey(),
-      PaceWithin(mSettings.mRelay.mRoutingBound, Duration{}),
-      StoreHooks{
-        [this](const StoreReader::Items& aItems) { OnRoutingItems(aItems); },
-        [this](bool aReached, const std::string& aReason) {
-          OnReach("routing", aReached, aReason);
-        },
-        [this](const StoreNews& aNews) { TellOthers(mRouting, aNews); },
-        [](const StoreItem& aOld, const StoreItem& aNew) {
-          return aOld.mValue != aNew.mValue;
-        } })
-  , mReplicas(
+  , mPeers(TransportSettings(mSettings), *this)
+  , mStore(
+      mSettings,
       mLoop,
       mWire,
-      mSettings.mStore,
-      mWire.ReplicasPrefix(),
-      PaceWithin(mSettings.mRelay.mLeavingBound,
-                 mSettings.mRelay.mLeavingBound / 8),
-      StoreHooks{
-        [this](const StoreReader::Items& aItems) { OnReplicaItems(aItems); },
-        [this](bool aReached, const std::string& aReason) {
-          OnReach("replicas", aReached, aReason);
-          Post(StoreReached{ aReached });
+      mLog,
+      StoreWatch::Node{
+        [this]() -> const Members& { return mReducer.KnownMembers(); },
+        [this](const Member& aPeer, PeerMessage aMessage) {
+          mPeers.Send(aPeer.mNode, aPeer.mPeerAddress, std::move(aMessage));
         },
-        [this](const StoreNews& aNews) { TellOthers(mReplicas, aNews); },
-        [this](const StoreItem& aOld, const StoreItem& aNew) {
-          // Replicas write again and again that they live.
-          std::string reason;
-          return mWire.ReadReplica(aOld.mKey, aOld.mValue, reason) !=
-                 mWire.ReadReplica(aNew.mKey, aNew.mValue, reason);
-        } })
-  , mPeers(TransportSettings(mSettings), *this)
-  , mRandom(mSettings.mNode.mSeed)
+        [this](RelayEventBody aBody) { Post(std::move(aBody)); },
+        [this](const CallerLimits& aLimits) { mCallers.SetLimits(aLimits); } })
 {
 }
 
@@ -324,14 +267,7 @@
   for (const auto& [caller, exchange] : mExchanges) {
     exchange->OnTime(aNow);
   }
-  ChooseReaders(aNow);
-  mRouting.OnTime(aNow);
-  mReplicas.OnTime(aNow);
-  for (StoreReader* reader : { &mRouting, &mReplicas }) {
-    if (reader->WantsPeer(aNow)) {
-      AskPeer(*reader);
-    }
-  }
+  mStore.OnTime(aNow);
   mPool.Expire(aNow);
   if (mLeavingSince != Instant{} &&
       aNow - mLeavingSince >= kListensWhileLeaving) {
@@ -452,7 +388,7 @@
 RelayNode::State::OnMessage(const NodeId& aFrom, PeerMessage aMessage)
 {
   mLoop.Post([this, aFrom, message = std::move(aMessage)]() mutable {
-    if (!TakePublished(aFrom, message)) {
+    if (!mStore.Take(aFrom, message)) {
       Post(PeerReceived{ aFrom, std::move(message) });
     }
   });
@@ -464,182 +400,16 @@
   mLoop.Post([this, aPeer] { Post(PeerLost{ aPeer }); });
 }
 
-void
-RelayNode::State::OnRoutingItems(const StoreReader::Items& aItems)
-{
-  const auto it = aItems.find(mWire.RoutingKey());
-  if (it == aItems.end()) {
-    return;
-  }
-  std::string reason;
-  const RoutingPtr routing = mWire.ReadRouting(it->second.mValue, reason);
-  if (routing == nullptr) {
-    mLog.Add(LogLevel::kWarning, "routing-unreadable", "", reason);
-    return;
-  }
-  mCallers.SetLimits(routing->mLimits);
-  Post(RoutingRead{ routing });
-}
-
-void
-RelayNode::State::OnReplicaItems(const StoreReader::Items& aItems)
-{
-  Replicas replicas;
-  for (const auto& [key, item] : aItems) {
-    std::string reason;
-    const auto replica = mWire.ReadReplica(key, item.mValue, reason);
-    if (!replica) {
-      std::string text = "key=" + key;
-      text.append(" reason=\"").append(reason).append("\"");
-      mLog.Add(LogLevel::kInfo, "replica-unreadable", "", text);
-      continue;
-    }
-    replicas.push_back(*replica);
-  }
-  std::sort(replicas.begin(), replicas.end());
-  Post(ReplicasRead{ std::move(replicas) });
-}
-
-// Any living node will do: half of them may not be answered either, and another
-// one is asked the next time.
-void
-RelayNode::State::AskPeer(StoreReader& aReader)
-{
-  std::vector<const Member*> others;
-  for (const Member& member : mReducer.KnownMembers()) {
-    if (member.mStatus == MemberStatus::kAlive &&
-        member.mNode != mSettings.mNode.mSelf) {
-      others.push_back(&member);
-    }
-  }
-  if (others.empty()) {
-    return;
-  }
-  const Member& peer = *others[mRandom() % others.size()];
-  mPeers.Send(peer.mNode,
-              peer.mPeerAddress,
-              PublishedRequest{ aReader.Prefix(), aReader.HeldAt() });
-}
-
 std::string
 RelayNode::State::MetricsText()
 {
   mMetrics.SetBeliefs(mReducer.View(), mReducer.KnownMembers());
-  mMetrics.SetNewsAge("routing", mRouting.NewsAge());
-  mMetrics.SetNewsAge("replicas", mReplicas.NewsAge());
+  mMetrics.SetNewsAge("routing", mStore.RoutingReader().NewsAge());
+  mMetrics.SetNewsAge("replicas", mStore.ReplicaReader().NewsAge());
   mMetrics.SetDroppedLines(mLog.Dropped());
   return mMetrics.Serialize();
 }
 
-void
-RelayNode::State::ChooseReaders(Instant aNow)
-{
-  if (aNow < mChooseAt) {
-    return;
-  }
-  mChooseAt = aNow + kChooseInterval;
-  const bool reads = ReadsStore(mReducer.KnownMembers(), mSettings.mNode.mSelf);
-  if (reads != mReadsForOthers) {
-    mReadsForOthers = reads;
-    mLog.Add(LogLevel::kInfo,
-             "store-reader",
-             "",
-             std::string("reads_for_others=") + (reads ? "yes" : "no"));
-  }
-  mRouting.SetReadsForOthers(reads);
-  mReplicas.SetReadsForOthers(reads);
-}
-
-// Also without a change: it says that the others need not ask.
-void
-RelayNode::State::TellOthers(const StoreReader& aReader, const StoreNews& aNews)
-{
-  PublishedNews news{ aReader.Prefix(), aNews.mFrom, aNews.mAt, {} };
-  for (const StoreItem& item : aNews.mItems) {
-    news.mItems.push_back(
-      { item.mKey, item.mValue, item.mRevision, item.mIsDeleted });
-  }
-  for (const Member& member : mReducer.KnownMembers()) {
-    if (member.mStatus == MemberStatus::kAlive &&
-        member.mNode != mSettings.mNode.mSelf) {
-      mPeers.Send(member.mNode, member.mPeerAddress, news);
-    }
-  }
-}
-
-StoreReader*
-RelayNode::State::ReaderOf(const std::string& aPrefix)
-{
-  for (StoreReader* reader : { &mRouting, &mReplicas }) {
-    if (reader->Prefix() == aPrefix) {
-      return reader;
-    }
-  }
-  return nullptr;
-}
-
-bool
-RelayNode::State::TakePublished(const NodeId& aFrom,
-                                const PeerMessage& aMessage)
-{
-  if (const auto* asked = std::get_if<PublishedRequest>(&aMessage)) {
-    StoreReader* reader = ReaderOf(asked->mPrefix);
-    if (reader == nullptr || reader->HeldAt() <= asked->mHave) {
-      return true;
-    }
-    PublishedReply reply{ asked->mPrefix, reader->HeldAt(), {} };
-    for (const auto& [key, item] : reader->Held()) {
-      reply.mItems.push_back({ key, item.mValue, item.mRevision, false });
-    }
-    const Member* peer = FindMember(mReducer.KnownMembers(), aFrom);
-    mPeers.Send(aFrom, peer != nullptr ? peer->mPeerAddress : Address{}, reply);
-    return true;
-  }
-  if (const auto* news = std::get_if<PublishedNews>(&aMessage)) {
-    StoreReader* reader = ReaderOf(news->mPrefix);
-    StoreNews taken{ news->mFrom, news->mAt, {} };
-    for (const PublishedItem& item : news->mItems) {
-      taken.mItems.push_back(
-        { item.mKey, item.mValue, item.mRevision, item.mIsDeleted });
-    }
-    if (reader != nullptr && reader->TakeNews(taken)) {
-      const Member* peer = FindMember(mReducer.KnownMembers(), aFrom);
-      mPeers.Send(aFrom,
-                  peer != nullptr ? peer->mPeerAddress : Address{},
-                  PublishedRequest{ reader->Prefix(), reader->HeldAt() });
-    }
-    return true;
-  }
-  if (const auto* told = std::get_if<PublishedReply>(&aMessage)) {
-    if (StoreReader* reader = ReaderOf(told->mPrefix)) {
-      StoreReader::Items items;
-      for (const PublishedItem& item : told->mItems) {
-        items[item.mKey] = { item.mKey, item.mValue, item.mRevision, false };
-      }
-      mLog.Add(LogLevel::kInfo,
-               "news-from-peer",
-               "",
-               "from=" + aFrom.mName.mValue + " prefix=" + told->mPrefix +
-                 " at=" + std::to_string(told->mAt) +
-                 " held_at=" + std::to_string(reader->HeldAt()));
-      reader->TakeFromPeer(told->mAt, std::move(items));
-    }
-    return true;
-  }
-  return false;
-}
-
-void
-RelayNode::State::OnReach(const char* aWhat,
-                          bool aReached,
-                          const std::string& aReason)
-{
-  mLog.Add(LogLevel::kWarning,
-           aReached ? "store-reached" : "store-lost",
-           "",
-           std::string("reader=") + aWhat + " reason=\"" + aReason + "\"");
-}
-
 void
 RelayNode::State::On(const StartCall& aEffect)
 {
