--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -15,6 +15,12 @@
 /// Places the attempts of one shard.
 namespace heatherfork::detail {
 
+inline const SchedulingSettings&
+SettingsOf(const Context& aContext)
+{
+  return aContext.mSettings.mPolicy.mScheduling;
+}
+
 /// Holds a shard's queue and placements, and learns from each step. Every
 /// attempt gets one Placed or PlacementRefused, unless it ends before.
 class ShardScheduler
