What may wait and won't be served before its deadline is told so early

The time since one of them got a place now tells how long the next takes; who won't get one before its deadline is sent back, the last ones first. Tests: two loads in unit-relay-schedulers, the first fails without it.

--- a/packages/core/src/scheduling/shard_scheduler.cpp
+++ b/packages/core/src/scheduling/shard_scheduler.cpp
@@ -325,6 +325,7 @@
   }
   mModel.AcceptAll(slow * 2 > mServers.size());
   Dispatch(aContext);
+  SendBackHopeless(aContext);
 }
 
 void
--- a/tests/unit-relay-schedulers.cpp
+++ b/tests/unit-relay-schedulers.cpp
@@ -172,3 +172,81 @@
   fixture.Tick(Milliseconds(20));
   CHECK(fixture.Told<Placed>() != nullptr);
 }
+
+// Load: callers that were sent back return into a crest that leaves no room.
+TEST(RelaySchedulers, WhatCannotBeServedIsNotHeldToItsDeadline)
+{
+  Fixture fixture;
+  fixture.PlaceAndPrefill(1);
+  fixture.PlaceAndPrefill(2);
+  constexpr int kWaiting = 10;
+  constexpr Duration kLeft = Milliseconds(1300);
+  const Instant began = fixture.mNow;
+  for (int n = 0; n < kWaiting; ++n) {
+    PlaceRequest place = fixture.Request(10 + n, Milliseconds(1));
+    place.mMayWait = true;
+    place.mDeadline = fixture.mNow + kLeft;
+    fixture.Place(place);
+  }
+  int told = 0;
+  while (fixture.mNow < began + kLeft * 3 / 4) {
+    fixture.Tick(Milliseconds(20));
+    for (const PeerMessage& message : fixture.mToSelf) {
+      told += std::holds_alternative<PlacementRefused>(message) ? 1 : 0;
+    }
+  }
+  CHECK_EQUAL(kWaiting, told);
+}
+
+// The same, but places become free: nobody is sent away who can be served.
+TEST(RelaySchedulers, WhatCanBeServedInTimeIsKept)
+{
+  Fixture fixture;
+  fixture.PlaceAndPrefill(1);
+  fixture.PlaceAndPrefill(2);
+  for (int n = 0; n < 3; ++n) {
+    PlaceRequest place = fixture.Request(10 + n, Milliseconds(1));
+    place.mMayWait = true;
+    place.mDeadline = fixture.mNow + Milliseconds(5000);
+    fixture.Place(place);
+  }
+  std::vector<AttemptId> running{ { kNode.mIncarnation, 1 },
+                                  { kNode.mIncarnation, 2 } };
+  int placed = 0;
+  const auto count = [&] {
+    std::vector<AttemptId> now;
+    for (const PeerMessage& message : fixture.mToSelf) {
+      CHECK(!std::holds_alternative<PlacementRefused>(message));
+      if (const auto* reply = std::get_if<Placed>(&message)) {
+        now.push_back(reply->mAttempt);
+      }
+    }
+    for (const AttemptId& attempt : now) {
+      ++placed;
+      running.push_back(attempt);
+      fixture.Do(Milliseconds(100), [&](Context& aContext) {
+        fixture.mScheduler.On(aContext,
+                              kNode,
+                              PlacementProgress{ attempt,
+                                                 PlacementStep::kPrefilled,
+                                                 Milliseconds(100) });
+      });
+    }
+  };
+  for (int n = 0; n < 3; ++n) {
+    for (int tick = 0; tick < 25; ++tick) {
+      fixture.Tick(Milliseconds(20));
+      count();
+    }
+    fixture.Do(Milliseconds(1), [&](Context& aContext) {
+      fixture.mScheduler.On(
+        aContext, kNode, PlacementEnded{ running[n], PlacementResult::kDone });
+    });
+    count();
+  }
+  for (int tick = 0; tick < 10; ++tick) {
+    fixture.Tick(Milliseconds(20));
+    count();
+  }
+  CHECK_EQUAL(3, placed);
+}
