--- a/packages/relay/include/heatherfork/detail/relay/store_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_watch.h
@@ -23,7 +23,7 @@
   struct Node
   {
     std::function<const Members&()> mMembers;
-    std::function<void(const Member&, PeerMessage)> mSend;
+    std::function<void(const Member&, const PeerMessage&)> mSend;
     std::function<void(RelayEventBody)> mPost;
     std::function<void(const CallerLimits&)> mSetLimits;
   };
@@ -52,7 +52,7 @@
   void AskPeer(StoreReader& aReader);
   void ChooseReaders(Instant aNow);
   void TellOthers(const StoreReader& aReader, const StoreNews& aNews);
-  void SendTo(const NodeId& aNode, PeerMessage aMessage);
+  void SendTo(const NodeId& aNode, const PeerMessage& aMessage);
   StoreReader* ReaderOf(const std::string& aPrefix);
 
   const NodeId mSelf;
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -165,8 +165,8 @@
       mLog,
       StoreWatch::Node{
         [this]() -> const Members& { return mReducer.KnownMembers(); },
-        [this](const Member& aPeer, PeerMessage aMessage) {
-          mPeers.Send(aPeer.mNode, aPeer.mPeerAddress, std::move(aMessage));
+        [this](const Member& aPeer, const PeerMessage& aMessage) {
+          mPeers.Send(aPeer.mNode, aPeer.mPeerAddress, aMessage);
         },
         [this](RelayEventBody aBody) { Post(std::move(aBody)); },
         [this](const CallerLimits& aLimits) { mCallers.SetLimits(aLimits); } })
--- a/packages/relay/src/store_watch.cpp
+++ b/packages/relay/src/store_watch.cpp
@@ -208,12 +208,12 @@
 }
 
 void
-StoreWatch::SendTo(const NodeId& aNode, PeerMessage aMessage)
+StoreWatch::SendTo(const NodeId& aNode, const PeerMessage& aMessage)
 {
   const Member* peer = FindMember(mNode.mMembers(), aNode);
   Member unknown;
   unknown.mNode = aNode;
-  mNode.mSend(peer != nullptr ? *peer : unknown, std::move(aMessage));
+  mNode.mSend(peer != nullptr ? *peer : unknown, aMessage);
 }
 
 void
@@ -227,7 +227,7 @@
   for (const auto& [key, item] : reader->Held()) {
     reply.mItems.push_back({ key, item.mValue, item.mRevision, false });
   }
-  SendTo(aFrom, std::move(reply));
+  SendTo(aFrom, reply);
 }
 
 void
