--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -113,6 +113,7 @@
   Duration mReleaseInterval = Milliseconds(50);
   Instant mExpiredAt{};
   Instant mWaitingSince{}; ///< For a place of those that may wait; 0: none is.
+  bool mIsOvertaken = false;   ///< Others got places since then.
   Duration mWaitingInterval{}; ///< Between two places of those that may wait.
 };
 
--- a/packages/core/src/scheduling/shard_dispatch.cpp
+++ b/packages/core/src/scheduling/shard_dispatch.cpp
@@ -109,7 +109,8 @@
 }
 
 // Those that may wait get what the others leave, which at a crest is nothing.
-// The time since one of them got a place tells how long the next will take.
+// The time since one of them got a place tells how long the next will take, if
+// others did get places meanwhile: else it only tells that no server was free.
 void
 ShardScheduler::SendBackHopeless(Context& aContext)
 {
@@ -134,6 +135,10 @@
   }
   if (ahead == 0) {
     mWaitingSince = Instant{};
+    mIsOvertaken = false;
+  }
+  if (!mIsOvertaken) {
+    return;
   }
   for (const WaitQueue::Key& key : hopeless) {
     SendBack(aContext, key);
@@ -150,6 +155,7 @@
       Duration(static_cast<std::int64_t>(kNewestWaiting * change));
   }
   mWaitingSince = aNow;
+  mIsOvertaken = false;
 }
 
 // A late request of a class that may not wait stays ahead of all that may:
@@ -192,6 +198,8 @@
 {
   if (aKey.mLane != Lane::kInTime) {
     NoteWaitingPlaced(aContext.mNow);
+  } else {
+    mIsOvertaken = mWaitingSince != Instant{};
   }
   Waiting waiting = mQueue.Take(aKey);
   const int pieces = Pieces(waiting.mPlace);
