--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -77,9 +77,6 @@
             int aAhead);
   bool MayBeSentBack(const WaitQueue::Key& aKey, const Waiting& aWaiting) const;
   void SendBack(Context& aContext, const WaitQueue::Key& aKey);
-  /// Sends back what will not get a place before its deadline.
-  void SendBackHopeless(Context& aContext);
-  void NoteWaitingPlaced(Instant aNow);
   bool IsDemoted(const WaitQueue::Key& aKey, const Waiting& aWaiting);
   void Promote(Instant aNow);
   void Isolate(Context& aContext);
@@ -112,9 +109,6 @@
   Instant mReleasedAt{};
   Duration mReleaseInterval = Milliseconds(50);
   Instant mExpiredAt{};
-  Instant mWaitingSince{}; ///< For a place of those that may wait; 0: none is.
-  bool mIsOvertaken = false;   ///< Others got places since then.
-  Duration mWaitingInterval{}; ///< Between two places of those that may wait.
 };
 
 } // namespace heatherfork::detail
--- a/packages/core/src/scheduling/shard_dispatch.cpp
+++ b/packages/core/src/scheduling/shard_dispatch.cpp
@@ -1,7 +1,5 @@
 #include "heatherfork/detail/scheduling/shard_scheduler.h"
 
-#include <algorithm>
-
 namespace heatherfork::detail {
 
 namespace {
@@ -9,10 +7,6 @@
 // A caller waits at most this part of its time before it comes back.
 constexpr int kPartOfTimeLeft = 3;
 
-// Weight of the newest interval between two places of those that may wait: the
-// room that a crest leaves to them changes within a few of them.
-constexpr double kNewestWaiting = 0.2;
-
 } // namespace
 
 // Looks at the first requests of the queue only, so that the cost of an event
@@ -108,56 +102,6 @@
                                   wait });
 }
 
-// Those that may wait get what the others leave, which at a crest is nothing.
-// The time since one of them got a place tells how long the next will take, if
-// others did get places meanwhile: else it only tells that no server was free.
-void
-ShardScheduler::SendBackHopeless(Context& aContext)
-{
-  const Instant now = aContext.mNow;
-  std::vector<WaitQueue::Key> hopeless;
-  int ahead = 0;
-  for (const auto& [key, waiting] : mQueue.All()) {
-    if (key.mLane == Lane::kInTime || waiting.mPlace.mIsolate) {
-      continue;
-    }
-    if (mWaitingSince == Instant{}) {
-      mWaitingSince = now;
-    }
-    ++ahead;
-    // On average a silence is halfway to its end.
-    const Duration interval =
-      std::max(mWaitingInterval, (now - mWaitingSince) / 2);
-    if (now + ahead * interval + mModel.FirstStep(1) >
-        waiting.mPlace.mDeadline) {
-      hopeless.push_back(key);
-    }
-  }
-  if (ahead == 0) {
-    mWaitingSince = Instant{};
-    mIsOvertaken = false;
-  }
-  if (!mIsOvertaken) {
-    return;
-  }
-  for (const WaitQueue::Key& key : hopeless) {
-    SendBack(aContext, key);
-  }
-}
-
-void
-ShardScheduler::NoteWaitingPlaced(Instant aNow)
-{
-  if (mWaitingSince != Instant{}) {
-    const auto change =
-      static_cast<double>((aNow - mWaitingSince - mWaitingInterval).count());
-    mWaitingInterval +=
-      Duration(static_cast<std::int64_t>(kNewestWaiting * change));
-  }
-  mWaitingSince = aNow;
-  mIsOvertaken = false;
-}
-
 // A late request of a class that may not wait stays ahead of all that may:
 // someone is waiting for it. One that may wait makes room for newer ones.
 bool
@@ -196,11 +140,6 @@
                        const WaitQueue::Key& aKey,
                        const Choice& aChoice)
 {
-  if (aKey.mLane != Lane::kInTime) {
-    NoteWaitingPlaced(aContext.mNow);
-  } else {
-    mIsOvertaken = mWaitingSince != Instant{};
-  }
   Waiting waiting = mQueue.Take(aKey);
   const int pieces = Pieces(waiting.mPlace);
   Placement placement(waiting.mFrom,
--- a/packages/core/src/scheduling/shard_scheduler.cpp
+++ b/packages/core/src/scheduling/shard_scheduler.cpp
@@ -325,7 +325,6 @@
   }
   mModel.AcceptAll(slow * 2 > mServers.size());
   Dispatch(aContext);
-  SendBackHopeless(aContext);
 }
 
 void
