Own interface: a body that nobody reads is no request

A GET of /healthz with a body that is itself a request: the body ran as a request on a backend server (found in reading the change; older than it). What has come in of a body is skipped after the answer, else the connection ends.

--- a/packages/node/src/http/caller_connection.cpp
+++ b/packages/node/src/http/caller_connection.cpp
@@ -1,5 +1,7 @@
 #include "heatherfork/detail/http/caller_connection.h"
 
+#include <istream>
+#include <limits>
 #include <memory>
 
 #include <Poco/Exception.h>
@@ -95,12 +97,17 @@
     response.sendContinue();
   }
   handler->handleRequest(*request, response);
-  // What was not read of a body must not be read as the next request.
-  aSession.setKeepAlive(keepAlive && response.getKeepAlive() &&
-                        Stream().IsDone());
-  if (!Stream().IsDone()) {
+  // What was not read of a body must not be read as the next request. All that
+  // has come in is skipped; for the rest nobody waits.
+  const bool isWhole = Stream().IsDone();
+  const bool hasBody =
+    request->hasContentLength() || request->getChunkedTransferEncoding();
+  if (!isWhole) {
     Stream().Drain();
+  } else if (hasBody) {
+    request->stream().ignore(std::numeric_limits<std::streamsize>::max());
   }
+  aSession.setKeepAlive(keepAlive && response.getKeepAlive() && isWhole);
 }
 
 void
--- a/tests/e2e/test_bad_input.py
+++ b/tests/e2e/test_bad_input.py
@@ -186,6 +186,22 @@
                 self.assertEqual(1, answers(received))
         self.assertEqual(before, self.arrivals())
 
+    def test_a_body_that_nobody_reads_is_no_request(self):
+        """Refused for its head: the body is a request of its own, smuggled."""
+        smuggled = post(COMPLETIONS, SOUND)
+        before = self.arrivals()
+        for name, line, key in [
+            ("unknown tenant", f"POST {COMPLETIONS}", "nobody"),
+            ("unknown path", "POST /v2/none", TENANT_KEYS["depot"]),
+            ("wrong method", f"PUT {COMPLETIONS}", TENANT_KEYS["depot"]),
+            ("information", "GET /healthz", TENANT_KEYS["depot"]),
+        ]:
+            with self.subTest(name):
+                head = f"{line} HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer {key}\r\nContent-Length: {len(smuggled)}\r\n\r\n"
+                received = exchange(self.cluster.nodes["node-0"].port, head.encode() + smuggled)
+                self.assertEqual(1, answers(received))
+        self.assertEqual(before, self.arrivals())
+
     def test_trailers_are_no_request(self):
         chunks = json.dumps(SOUND).encode()
         chunks = b"%x\r\n%s\r\n0\r\nX: GET / HTTP/1.1\r\n\r\n" % (len(chunks), chunks)
