RelayNode in files by concern; a metrics port in use stops no node

Found in reading: a port that something else holds kept the node from starting (relay-relay fails without the mend), and requests refused before they have a route were missing among the outcomes.

--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -183,6 +183,7 @@
                                    "this node has no configuration yet" };
     aContext.Emit(RelayNote{
       "refused", aEvent.mRequest.mId, "reason=\"" + error.mMessage + "\"" });
+    aContext.Emit(RelayMeasured{ {}, RelayOutcome::kRefused, {} });
     aContext.Emit(RefuseCaller{ aEvent.mCaller, error, Milliseconds(100) });
     return;
   }
--- /dev/null
+++ b/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "heatherfork/detail/relay/caller_port.h"
+#include "heatherfork/detail/relay/exchange.h"
+#include "heatherfork/detail/relay/line_log.h"
+#include "heatherfork/detail/relay/relay_metrics.h"
+#include "heatherfork/detail/relay/store_watch.h"
+#include "heatherfork/peer_transport.h"
+#include "heatherfork/relay_node.h"
+#include "heatherfork/relay_reducer.h"
+
+/// The thread of a relaying node.
+namespace heatherfork {
+
+/// Turns what happens into events of the reducer, and its effects into calls.
+class RelayNode::State final
+  : public relay::RequestListener
+  , public PeerListener
+{
+public:
+  State(RelayNodeSettings aSettings, const RelayWire& aWire);
+  ~State() override;
+
+  absl::Status Start();
+  void Stop();
+  void RequestStop();
+  void NoteReload();
+  void WaitUntilStopped();
+
+  void OnRequest(relay::CallerConnection& aConnection,
+                 const relay::HttpHead& aHead,
+                 std::string aBody) override;
+  void OnBadRequest(relay::CallerConnection& aConnection, int aStatus) override;
+  void OnGone(relay::CallerConnection& aConnection) override;
+
+  void OnMessage(const NodeId& aFrom, PeerMessage aMessage) override;
+  void OnLost(const NodeId& aPeer) override;
+
+private:
+  void Run();
+  void OnTime(Instant aNow);
+  void Post(RelayEventBody aBody) { mEvents.push_back(std::move(aBody)); }
+  void ReduceAll();
+  void Reduce(RelayEventBody aBody);
+  relay::Exchange* Find(CallerId aCaller);
+
+  void On(const StartCall& aEffect);
+  void On(const StopCall& aEffect);
+  void On(const RefuseCaller& aEffect);
+  void On(const PassAnswer& aEffect);
+  void On(const BreakStream& aEffect);
+  void On(const FreeKv& aEffect);
+  void On(const RelayNote& aEffect);
+  void On(const RelayMeasured& aEffect) { mMetrics.On(aEffect); }
+  void On(const SendToPeer& aEffect);
+  void On(const ExitProcess& aEffect);
+
+  bool AnswerInfo(relay::CallerConnection& aConnection,
+                  const relay::HttpHead& aHead);
+  void StartMetrics();
+  std::string MetricsText();
+
+  const RelayNodeSettings mSettings;
+  const RelayWire& mWire;
+  relay::LineLog mLog;
+  relay::IoLoop mLoop;
+  RelayReducer mReducer;
+  relay::ConnectionPool mPool;
+  relay::ExchangeContext mExchangeContext;
+  relay::CallerPort mCallers;
+  std::vector<std::unique_ptr<relay::CallerPort>> mInfo;
+  relay::RelayMetrics mMetrics;
+  relay::MetricsListener mMetricsListener;
+  relay::CallerPort mMetricsPort;
+  PeerTransport mPeers;
+  relay::StoreWatch mStore;
+  std::deque<RelayEventBody> mEvents;
+  std::map<CallerId, std::unique_ptr<relay::Exchange>> mExchanges;
+  std::vector<std::unique_ptr<relay::Exchange>> mEnded;
+  std::vector<std::unique_ptr<relay::ExchangeListener>> mFreeing;
+  CallerId mLastCaller = 0;
+  Instant mNextTimer{};
+  Instant mLeavingSince{};
+  bool mIsDone = false; ///< Of the loop's thread.
+
+  std::thread mThread;
+  std::mutex mMutex;
+  std::condition_variable mWake;
+  bool mStopped = false;
+};
+
+} // namespace heatherfork
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -1,19 +1,8 @@
 #include "heatherfork/relay_node.h"
 
-#include <condition_variable>
-#include <deque>
-#include <mutex>
-#include <thread>
-
 #include <unistd.h>
 
-#include "heatherfork/detail/relay/caller_port.h"
-#include "heatherfork/detail/relay/exchange.h"
-#include "heatherfork/detail/relay/line_log.h"
-#include "heatherfork/detail/relay/relay_metrics.h"
-#include "heatherfork/detail/relay/store_watch.h"
-#include "heatherfork/peer_transport.h"
-#include "heatherfork/relay_reducer.h"
+#include "heatherfork/detail/relay/relay_node_state.h"
 
 namespace heatherfork {
 
@@ -33,8 +22,6 @@
 // Also for the last words when the node stops, within its grace period.
 constexpr Duration kPeerConnectTimeout = Milliseconds(500);
 
-constexpr int kTooEarly = 503;
-
 LogLevel
 LevelOf(const std::string& aName)
 {
@@ -45,16 +32,6 @@
                                                 : LogLevel::kInfo;
 }
 
-// Notes of every request are many; what failed is kept to the last.
-LogLevel
-LevelOfEvent(const std::string& aEvent)
-{
-  const bool isFailure =
-    aEvent == "refused" || aEvent == "broken" || aEvent == "scheduler-lost" ||
-    aEvent == "scheduler-silent" || aEvent == "scheduler-unreachable";
-  return isFailure ? LogLevel::kWarning : LogLevel::kInfo;
-}
-
 PeerTransportSettings
 TransportSettings(const RelayNodeSettings& aSettings)
 {
@@ -69,80 +46,6 @@
 
 } // namespace
 
-class RelayNode::State final
-  : public RequestListener
-  , public PeerListener
-{
-public:
-  State(RelayNodeSettings aSettings, const RelayWire& aWire);
-  ~State() override;
-
-  absl::Status Start();
-  void Stop();
-  void RequestStop();
-  void NoteReload();
-  void WaitUntilStopped();
-
-  void OnRequest(CallerConnection& aConnection,
-                 const HttpHead& aHead,
-                 std::string aBody) override;
-  void OnBadRequest(CallerConnection& aConnection, int aStatus) override;
-  void OnGone(CallerConnection& aConnection) override;
-
-  void OnMessage(const NodeId& aFrom, PeerMessage aMessage) override;
-  void OnLost(const NodeId& aPeer) override;
-
-private:
-  void Run();
-  void OnTime(Instant aNow);
-  void Post(RelayEventBody aBody) { mEvents.push_back(std::move(aBody)); }
-  void ReduceAll();
-  void Reduce(RelayEventBody aBody);
-  Exchange* Find(CallerId aCaller);
-
-  void On(const StartCall& aEffect);
-  void On(const StopCall& aEffect);
-  void On(const RefuseCaller& aEffect);
-  void On(const PassAnswer& aEffect);
-  void On(const BreakStream& aEffect);
-  void On(const FreeKv& aEffect);
-  void On(const RelayNote& aEffect);
-  void On(const RelayMeasured& aEffect) { mMetrics.On(aEffect); }
-  void On(const SendToPeer& aEffect);
-  void On(const ExitProcess& aEffect);
-
-  bool AnswerInfo(CallerConnection& aConnection, const HttpHead& aHead);
-  std::string MetricsText();
-
-  const RelayNodeSettings mSettings;
-  const RelayWire& mWire;
-  LineLog mLog;
-  IoLoop mLoop;
-  RelayReducer mReducer;
-  ConnectionPool mPool;
-  ExchangeContext mExchangeContext;
-  CallerPort mCallers;
-  std::vector<std::unique_ptr<CallerPort>> mInfo;
-  RelayMetrics mMetrics;
-  MetricsListener mMetricsListener;
-  CallerPort mMetricsPort;
-  PeerTransport mPeers;
-  StoreWatch mStore;
-  std::deque<RelayEventBody> mEvents;
-  std::map<CallerId, std::unique_ptr<Exchange>> mExchanges;
-  std::vector<std::unique_ptr<Exchange>> mEnded;
-  std::vector<std::unique_ptr<ExchangeListener>> mFreeing;
-  CallerId mLastCaller = 0;
-  Instant mNextTimer{};
-  Instant mLeavingSince{};
-  bool mIsDone = false; ///< Of the loop's thread.
-
-  std::thread mThread;
-  std::mutex mMutex;
-  std::condition_variable mWake;
-  bool mStopped = false;
-};
-
 RelayNode::State::State(RelayNodeSettings aSettings, const RelayWire& aWire)
   : mSettings(std::move(aSettings))
   , mWire(aWire)
@@ -186,9 +89,6 @@
     mInfo.push_back(std::make_unique<CallerPort>(mLoop, *this));
     status.Update(mInfo.back()->Start(address));
   }
-  if (!mSettings.mMetrics.Empty()) {
-    status.Update(mMetricsPort.Start(mSettings.mMetrics));
-  }
   if (!status.ok()) {
     return status;
   }
@@ -196,6 +96,7 @@
   if (!status.ok()) {
     return status;
   }
+  StartMetrics();
   mLog.Add(LogLevel::kWarning,
            "started",
            "",
@@ -205,6 +106,23 @@
   return absl::OkStatus();
 }
 
+// A port in use costs what operators see, not what callers get.
+void
+RelayNode::State::StartMetrics()
+{
+  if (mSettings.mMetrics.Empty()) {
+    return;
+  }
+  const absl::Status status = mMetricsPort.Start(mSettings.mMetrics);
+  if (!status.ok()) {
+    mLog.Add(LogLevel::kWarning,
+             "metrics-unavailable",
+             "",
+             "address=" + mSettings.mMetrics.mValue + " reason=\"" +
+               std::string(status.message()) + "\"");
+  }
+}
+
 void
 RelayNode::State::Stop()
 {
@@ -297,93 +215,6 @@
   }
 }
 
-Exchange*
-RelayNode::State::Find(CallerId aCaller)
-{
-  const auto it = mExchanges.find(aCaller);
-  return it == mExchanges.end() ? nullptr : it->second.get();
-}
-
-void
-RelayNode::State::OnRequest(CallerConnection& aConnection,
-                            const HttpHead& aHead,
-                            std::string aBody)
-{
-  if (AnswerInfo(aConnection, aHead)) {
-    return;
-  }
-  const auto read = mWire.ReadRequest(aHead, aBody);
-  if (const auto* error = std::get_if<Error>(&read)) {
-    mLog.Add(LogLevel::kWarning, "bad-request", "", error->mMessage);
-    const int status = InfoOf(error->mCode).mHttpStatus;
-    aConnection.Send(mWire.WriteError("", *error, status, {}, true));
-    aConnection.Finish(false);
-    return;
-  }
-  const RelayRequest& request = std::get<RelayRequest>(read);
-  const CallerId caller = ++mLastCaller;
-  mExchanges[caller] = std::make_unique<Exchange>(
-    mExchangeContext, aConnection, aHead, std::move(aBody), request.mId);
-  Post(RelayArrived{ caller, request });
-}
-
-void
-RelayNode::State::OnBadRequest(CallerConnection& aConnection, int aStatus)
-{
-  const Error error{ ErrorCode::kBadHttp,
-                     "what came is no request that this node takes" };
-  mLog.Add(
-    LogLevel::kWarning, "bad-request", "", "status=" + std::to_string(aStatus));
-  aConnection.Send(mWire.WriteError("", error, aStatus, {}, true));
-  aConnection.Finish(false);
-}
-
-void
-RelayNode::State::OnGone(CallerConnection& aConnection)
-{
-  for (auto it = mExchanges.begin(); it != mExchanges.end(); ++it) {
-    if (it->second->IsOf(aConnection)) {
-      it->second->Stop();
-      mEnded.push_back(std::move(it->second));
-      Post(RelayCallerLeft{ it->first });
-      mExchanges.erase(it);
-      return;
-    }
-  }
-}
-
-bool
-RelayNode::State::AnswerInfo(CallerConnection& aConnection,
-                             const HttpHead& aHead)
-{
-  if (mWire.IsReadyCall(aHead)) {
-    const bool isReady = mReducer.View().IsReady();
-    aConnection.Send(isReady ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-                             : "HTTP/1.1 503 Service Unavailable\r\n"
-                               "Content-Length: 0\r\n\r\n");
-    aConnection.Finish(true);
-    return true;
-  }
-  const auto entries = mWire.ReadEntriesCall(aHead);
-  if (!entries) {
-    return false;
-  }
-  const auto addresses = mReducer.EntriesFor(ZoneName{ entries->mZone });
-  if (addresses.empty()) {
-    aConnection.Send(
-      mWire.WriteError("",
-                       { ErrorCode::kNoBackendServer, "no node serves yet" },
-                       kTooEarly,
-                       {},
-                       false));
-  } else {
-    aConnection.Send(
-      mWire.WriteEntries(addresses, mSettings.mRelay.mEntriesValidity));
-  }
-  aConnection.Finish(true);
-  return true;
-}
-
 void
 RelayNode::State::OnMessage(const NodeId& aFrom, PeerMessage aMessage)
 {
@@ -410,118 +241,6 @@
   return mMetrics.Serialize();
 }
 
-void
-RelayNode::State::On(const StartCall& aEffect)
-{
-  if (Exchange* exchange = Find(aEffect.mCall.mCaller)) {
-    exchange->Start(aEffect, SteadyNow());
-  }
-}
-
-void
-RelayNode::State::On(const StopCall& aEffect)
-{
-  if (Exchange* exchange = Find(aEffect.mCall.mCaller)) {
-    exchange->Stop();
-  }
-}
-
-void
-RelayNode::State::On(const RefuseCaller& aEffect)
-{
-  const auto it = mExchanges.find(aEffect.mCaller);
-  if (it == mExchanges.end()) {
-    return;
-  }
-  // The answer may bring the connection's next request, so it goes first.
-  const std::unique_ptr<Exchange> exchange = std::move(it->second);
-  mExchanges.erase(it);
-  exchange->Refuse(aEffect.mError,
-                   InfoOf(aEffect.mError.mCode).mHttpStatus,
-                   aEffect.mRetryAfter);
-}
-
-void
-RelayNode::State::On(const PassAnswer& aEffect)
-{
-  const auto it = mExchanges.find(aEffect.mCall.mCaller);
-  if (it == mExchanges.end()) {
-    return;
-  }
-  const std::unique_ptr<Exchange> exchange = std::move(it->second);
-  mExchanges.erase(it);
-  exchange->Pass();
-}
-
-void
-RelayNode::State::On(const BreakStream& aEffect)
-{
-  const auto it = mExchanges.find(aEffect.mCaller);
-  if (it == mExchanges.end()) {
-    return;
-  }
-  const std::unique_ptr<Exchange> exchange = std::move(it->second);
-  mExchanges.erase(it);
-  exchange->Break();
-}
-
-namespace {
-
-// One small call whose answer is of no interest.
-class Errand final : public ExchangeListener
-{
-public:
-  Errand(ConnectionPool& aPool, const Address& aTo, std::string aRequest)
-    : mPool(aPool)
-    , mConnection(aPool.Take(aTo, false))
-  {
-    mConnection->Begin(std::move(aRequest), false, *this);
-  }
-  ~Errand() override
-  {
-    if (mConnection != nullptr) {
-      mConnection->Abandon();
-    }
-  }
-
-  bool OnHead(const HttpHead&) override { return true; }
-  void OnBody(std::string_view) override {}
-  void OnDone() override { mPool.Give(std::move(mConnection)); }
-  void OnFailed(const std::string&, bool) override
-  {
-    mPool.Give(std::move(mConnection));
-  }
-
-private:
-  ConnectionPool& mPool;
-  ServerConnectionPtr mConnection;
-};
-
-// Errands whose end is waited for; older ones are dropped.
-constexpr std::size_t kMostErrands = 64;
-
-} // namespace
-
-void
-RelayNode::State::On(const FreeKv& aEffect)
-{
-  if (mFreeing.size() >= kMostErrands) {
-    mFreeing.erase(mFreeing.begin());
-  }
-  mFreeing.push_back(std::make_unique<Errand>(
-    mPool, aEffect.mHolder, mWire.WriteFreeKv(aEffect)));
-}
-
-void
-RelayNode::State::On(const RelayNote& aEffect)
-{
-  mMetrics.On(aEffect);
-  mLog.Add(LevelOfEvent(aEffect.mEvent),
-           aEffect.mEvent,
-           aEffect.mRequest,
-           aEffect.mText);
-}
-
 void
 RelayNode::State::On(const SendToPeer& aEffect)
 {
--- /dev/null
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -0,0 +1,218 @@
+#include "heatherfork/detail/relay/relay_node_state.h"
+
+namespace heatherfork {
+
+using namespace relay;
+
+namespace {
+
+constexpr int kTooEarly = 503;
+
+// Notes of every request are many; what failed is kept to the last.
+LogLevel
+LevelOfEvent(const std::string& aEvent)
+{
+  const bool isFailure =
+    aEvent == "refused" || aEvent == "broken" || aEvent == "scheduler-lost" ||
+    aEvent == "scheduler-silent" || aEvent == "scheduler-unreachable";
+  return isFailure ? LogLevel::kWarning : LogLevel::kInfo;
+}
+
+// One small call whose answer is of no interest.
+class Errand final : public ExchangeListener
+{
+public:
+  Errand(ConnectionPool& aPool, const Address& aTo, std::string aRequest)
+    : mPool(aPool)
+    , mConnection(aPool.Take(aTo, false))
+  {
+    mConnection->Begin(std::move(aRequest), false, *this);
+  }
+  ~Errand() override
+  {
+    if (mConnection != nullptr) {
+      mConnection->Abandon();
+    }
+  }
+
+  bool OnHead(const HttpHead&) override { return true; }
+  void OnBody(std::string_view) override {}
+  void OnDone() override { mPool.Give(std::move(mConnection)); }
+  void OnFailed(const std::string&, bool) override
+  {
+    mPool.Give(std::move(mConnection));
+  }
+
+private:
+  ConnectionPool& mPool;
+  ServerConnectionPtr mConnection;
+};
+
+// Errands whose end is waited for; older ones are dropped.
+constexpr std::size_t kMostErrands = 64;
+
+} // namespace
+
+Exchange*
+RelayNode::State::Find(CallerId aCaller)
+{
+  const auto it = mExchanges.find(aCaller);
+  return it == mExchanges.end() ? nullptr : it->second.get();
+}
+
+void
+RelayNode::State::OnRequest(CallerConnection& aConnection,
+                            const HttpHead& aHead,
+                            std::string aBody)
+{
+  if (AnswerInfo(aConnection, aHead)) {
+    return;
+  }
+  const auto read = mWire.ReadRequest(aHead, aBody);
+  if (const auto* error = std::get_if<Error>(&read)) {
+    mLog.Add(LogLevel::kWarning, "bad-request", "", error->mMessage);
+    const int status = InfoOf(error->mCode).mHttpStatus;
+    aConnection.Send(mWire.WriteError("", *error, status, {}, true));
+    aConnection.Finish(false);
+    return;
+  }
+  const RelayRequest& request = std::get<RelayRequest>(read);
+  const CallerId caller = ++mLastCaller;
+  mExchanges[caller] = std::make_unique<Exchange>(
+    mExchangeContext, aConnection, aHead, std::move(aBody), request.mId);
+  Post(RelayArrived{ caller, request });
+}
+
+void
+RelayNode::State::OnBadRequest(CallerConnection& aConnection, int aStatus)
+{
+  const Error error{ ErrorCode::kBadHttp,
+                     "what came is no request that this node takes" };
+  mLog.Add(
+    LogLevel::kWarning, "bad-request", "", "status=" + std::to_string(aStatus));
+  aConnection.Send(mWire.WriteError("", error, aStatus, {}, true));
+  aConnection.Finish(false);
+}
+
+void
+RelayNode::State::OnGone(CallerConnection& aConnection)
+{
+  for (auto it = mExchanges.begin(); it != mExchanges.end(); ++it) {
+    if (it->second->IsOf(aConnection)) {
+      it->second->Stop();
+      mEnded.push_back(std::move(it->second));
+      Post(RelayCallerLeft{ it->first });
+      mExchanges.erase(it);
+      return;
+    }
+  }
+}
+
+bool
+RelayNode::State::AnswerInfo(CallerConnection& aConnection,
+                             const HttpHead& aHead)
+{
+  if (mWire.IsReadyCall(aHead)) {
+    const bool isReady = mReducer.View().IsReady();
+    aConnection.Send(isReady ? "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+                             : "HTTP/1.1 503 Service Unavailable\r\n"
+                               "Content-Length: 0\r\n\r\n");
+    aConnection.Finish(true);
+    return true;
+  }
+  const auto entries = mWire.ReadEntriesCall(aHead);
+  if (!entries) {
+    return false;
+  }
+  const auto addresses = mReducer.EntriesFor(ZoneName{ entries->mZone });
+  if (addresses.empty()) {
+    aConnection.Send(
+      mWire.WriteError("",
+                       { ErrorCode::kNoBackendServer, "no node serves yet" },
+                       kTooEarly,
+                       {},
+                       false));
+  } else {
+    aConnection.Send(
+      mWire.WriteEntries(addresses, mSettings.mRelay.mEntriesValidity));
+  }
+  aConnection.Finish(true);
+  return true;
+}
+
+void
+RelayNode::State::On(const StartCall& aEffect)
+{
+  if (Exchange* exchange = Find(aEffect.mCall.mCaller)) {
+    exchange->Start(aEffect, SteadyNow());
+  }
+}
+
+void
+RelayNode::State::On(const StopCall& aEffect)
+{
+  if (Exchange* exchange = Find(aEffect.mCall.mCaller)) {
+    exchange->Stop();
+  }
+}
+
+void
+RelayNode::State::On(const RefuseCaller& aEffect)
+{
+  const auto it = mExchanges.find(aEffect.mCaller);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  // The answer may bring the connection's next request, so it goes first.
+  const std::unique_ptr<Exchange> exchange = std::move(it->second);
+  mExchanges.erase(it);
+  exchange->Refuse(aEffect.mError,
+                   InfoOf(aEffect.mError.mCode).mHttpStatus,
+                   aEffect.mRetryAfter);
+}
+
+void
+RelayNode::State::On(const PassAnswer& aEffect)
+{
+  const auto it = mExchanges.find(aEffect.mCall.mCaller);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  const std::unique_ptr<Exchange> exchange = std::move(it->second);
+  mExchanges.erase(it);
+  exchange->Pass();
+}
+
+void
+RelayNode::State::On(const BreakStream& aEffect)
+{
+  const auto it = mExchanges.find(aEffect.mCaller);
+  if (it == mExchanges.end()) {
+    return;
+  }
+  const std::unique_ptr<Exchange> exchange = std::move(it->second);
+  mExchanges.erase(it);
+  exchange->Break();
+}
+
+void
+RelayNode::State::On(const FreeKv& aEffect)
+{
+  if (mFreeing.size() >= kMostErrands) {
+    mFreeing.erase(mFreeing.begin());
+  }
+  mFreeing.push_back(std::make_unique<Errand>(
+    mPool, aEffect.mHolder, mWire.WriteFreeKv(aEffect)));
+}
+
+void
+RelayNode::State::On(const RelayNote& aEffect)
+{
+  mMetrics.On(aEffect);
+  mLog.Add(LevelOfEvent(aEffect.mEvent),
+           aEffect.mEvent,
+           aEffect.mRequest,
+           aEffect.mText);
+}
+
+} // namespace heatherfork
--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -72,8 +72,9 @@
 
 
 class Node:
-    def __init__(self, name, store, seed=None, unread=False):
+    def __init__(self, name, store, seed=None, unread=False, metrics=None):
         self.front, self.control, self.info, self.metrics = free_ports(4)
+        self.metrics = metrics or self.metrics
         self.address = "127.0.0.1:%d" % self.control
         self.folder = tempfile.TemporaryDirectory()
         self.log_path = Path(self.folder.name) / "log"
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -210,6 +210,14 @@
         wait_until(lambda: second.ask("/moved/x", "m1")[0] == 200)
         dead.close()
 
+    def test_a_port_in_use_costs_only_the_metrics(self):
+        taken = socket.create_server(("127.0.0.1", 0))
+        node = self.start("n1", metrics=taken.getsockname()[1])
+        node.wait_ready()
+        self.assertEqual(200, node.ask("/often/x")[0])
+        self.assertIn("event=metrics-unavailable", node.log())
+        taken.close()
+
     def test_two_nodes_read_the_store_for_all(self):
         first = self.start("n1")
         nodes = [first] + [
--- a/tests/unit-relay-requests.cpp
+++ b/tests/unit-relay-requests.cpp
@@ -194,6 +194,8 @@
   CHECK(node.Find<ExitProcess>() == nullptr);
   node.Ask("/once/x");
   CHECK(After(node) == Then::kNotRun);
+  const auto* measured = node.Find<RelayMeasured>();
+  CHECK(measured != nullptr && measured->mOutcome == RelayOutcome::kRefused);
   RelayEnded ended;
   ended.mCall = { 1, 1 };
   ended.mResult = RelayResult::kDone;
@@ -203,8 +205,6 @@
   CHECK(node.Find<ExitProcess>() != nullptr);
 }
 
-// Load: decode replicas that refuse after each prefill (BUDGET on a grown
-// site).
 // Load: a rolling replacement with streams that outlast the grace period
 // (LOST).
 TEST(RelayRequests, APlannedStopCutsNothingBeforeTheLastSixthOfTheGrace)
@@ -220,6 +220,8 @@
   CHECK(node.Find<ExitProcess>() != nullptr);
 }
 
+// Load: decode replicas that refuse after each prefill (BUDGET on a grown
+// site).
 TEST(RelayRequests, ARepeatCostsAllTheCallsThatItMakes)
 {
   struct Row
