The cost of an event does not grow with the number of members

Cause: with 295 nodes each event counted the nodes anew in a set of strings (RelayReducer::CountNodes), each placement hashed every name, each message searched the member list from its start, and the peer loop visited every link after each message.

Change: Membership numbers its views; the count of nodes, the log of members and the scheduler of a shard are kept for a view. FindMember searches the ordered list by halves.

Result: unit-relay-scale fails before, passes after (bound: 2.5 times the cost at 37 times the nodes).

--- a/packages/core/include/heatherfork/detail/context.h
+++ b/packages/core/include/heatherfork/detail/context.h
@@ -22,6 +22,8 @@
   std::mt19937_64& mRandom;
   Effects& mEffects;
   std::deque<PeerMessage>& mToSelf;
+  /// Rises whenever mMembers changes; 0 when it is not tracked.
+  std::uint64_t mMembersNumber = 0;
 
   /// Sends a message to a node. Messages to this node itself are queued in
   /// `mToSelf` and need no connection.
--- a/packages/core/include/heatherfork/detail/membership/membership.h
+++ b/packages/core/include/heatherfork/detail/membership/membership.h
@@ -49,6 +49,9 @@
   /// All known nodes ordered by name, including this node and dead ones.
   const Members& All() const { return mAll; }
 
+  /// Rises whenever All() changes.
+  std::uint64_t ViewNumber() const { return mViewNumber; }
+
   /// Nodes that this node probes in turn.
   const std::vector<NodeId>& Neighbours() const { return mNeighbours; }
 
@@ -105,6 +108,7 @@
   MemberTable mTable;
   Prober mProber;
   Members mAll;
+  std::uint64_t mViewNumber = 0;
   std::vector<NodeId> mNeighbours;
   std::vector<Address>
     mListedSeeds; ///< Peer addresses from the platform's VM list.
--- a/packages/core/include/heatherfork/detail/scheduling/shard_chooser.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_chooser.h
@@ -43,12 +43,15 @@
   };
 
   void Update(const Context& aContext);
+  NodeId SchedulerOf(const Context& aContext, const Shard& aShard);
   Duration CostOf(const Context& aContext, const Shard& aShard) const;
   const Shard* Choose(Context& aContext,
                       const std::vector<const Shard*>& aShards) const;
 
   ShardMap mMap;
   std::map<ShardId, ReportedDelay> mReportedDelays;
+  std::map<ShardId, NodeId> mSchedulers; ///< At mMembersNumber.
+  std::uint64_t mMembersNumber = 0;
 };
 
 } // namespace heatherfork::detail
--- a/packages/core/include/heatherfork/member.h
+++ b/packages/core/include/heatherfork/member.h
@@ -39,7 +39,8 @@
 const char*
 ToString(MemberStatus aStatus);
 
-/// Finds a member by name and incarnation; null when unknown.
+/// Finds a member by name and incarnation; null when unknown. The members are
+/// ordered by name.
 const Member*
 FindMember(const Members& aMembers, const NodeId& aNode);
 
--- a/packages/core/src/member.cpp
+++ b/packages/core/src/member.cpp
@@ -8,10 +8,14 @@
 FindMember(const Members& aMembers, const NodeId& aNode)
 {
   const auto it =
-    std::find_if(aMembers.begin(), aMembers.end(), [&](const Member& aMember) {
-      return aMember.mNode == aNode;
-    });
-  return it == aMembers.end() ? nullptr : &*it;
+    std::lower_bound(aMembers.begin(),
+                     aMembers.end(),
+                     aNode.mName,
+                     [](const Member& aMember, const NodeName& aName) {
+                       return aMember.mNode.mName < aName;
+                     });
+  const bool isFound = it != aMembers.end() && it->mNode == aNode;
+  return isFound ? &*it : nullptr;
 }
 
 const char*
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -86,6 +86,7 @@
   }
   mAreViewsStale = false;
   mAll = mTable.All();
+  ++mViewNumber;
   mNeighbours = detail::Neighbours(mAll, mSettings.mSelf);
 }
 
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -54,7 +54,7 @@
   void RebuildConfiguration(RelayContext& aContext);
   void LogMemberChanges(RelayContext& aContext);
   bool ShouldRefuseNew(Instant aNow) const;
-  std::size_t CountNodes() const;
+  std::size_t CountNodes();
 
   NodeSettings mSettings;
   RelaySettings mRelaySettings;
@@ -69,6 +69,9 @@
   detail::RelayRequests mRequests;
   std::vector<NodeId> mGoneNodes; ///< Detected during the current event.
   Members mLoggedMembers;
+  std::uint64_t mLoggedView = 0; ///< Of mLoggedMembers.
+  std::size_t mNodes = 1;        ///< At mCountedView.
+  std::uint64_t mCountedView = 0;
   bool mIsLeaving = false;
   bool mHasExited = false;
   Instant mLeavingSince{};
@@ -169,13 +172,18 @@
 }
 
 std::size_t
-RelayReducer::State::CountNodes() const
+RelayReducer::State::CountNodes()
 {
+  if (mCountedView == mMembership.ViewNumber()) {
+    return mNodes;
+  }
+  mCountedView = mMembership.ViewNumber();
   std::set<Address> addresses;
   for (const Member& member : mMembership.All()) {
     addresses.insert(member.mPeerAddress);
   }
-  return std::max<std::size_t>(addresses.size(), 1);
+  mNodes = std::max<std::size_t>(addresses.size(), 1);
+  return mNodes;
 }
 
 void
@@ -319,6 +327,10 @@
 void
 RelayReducer::State::LogMemberChanges(RelayContext& aContext)
 {
+  if (mLoggedView == mMembership.ViewNumber()) {
+    return;
+  }
+  mLoggedView = mMembership.ViewNumber();
   const Members& members = mMembership.All();
   if (members.size() == mLoggedMembers.size() &&
       std::equal(members.begin(),
@@ -371,7 +383,7 @@
   Context context{ mState->mSettings,      aEvent.mAt,
                    mState->mConfiguration, mState->mMembership.All(),
                    mState->mRandom,        shared,
-                   mState->mLocalMessages };
+                   mState->mLocalMessages, mState->mMembership.ViewNumber() };
   RelayContext relayContext{ context,
                              mState->mRelaySettings,
                              mState->mReplicas,
--- a/packages/core/src/scheduling/shard_chooser.cpp
+++ b/packages/core/src/scheduling/shard_chooser.cpp
@@ -39,7 +39,7 @@
   const Shard* shard = Choose(aContext, shards);
   aPlace.mShard = shard->mId;
   ++mReportedDelays[shard->mId].mSentSinceReport;
-  return detail::SchedulerOf(*shard, aContext.mMembers);
+  return SchedulerOf(aContext, *shard);
 }
 
 NodeId
@@ -47,8 +47,25 @@
 {
   Update(aContext);
   const Shard* shard = mMap.Find(aShard);
-  return shard == nullptr ? NodeId{}
-                          : detail::SchedulerOf(*shard, aContext.mMembers);
+  return shard == nullptr ? NodeId{} : SchedulerOf(aContext, *shard);
+}
+
+// The choice hashes the name of every member, so it is kept until they change.
+NodeId
+ShardChooser::SchedulerOf(const Context& aContext, const Shard& aShard)
+{
+  if (aContext.mMembersNumber == 0) {
+    return detail::SchedulerOf(aShard, aContext.mMembers);
+  }
+  if (mMembersNumber != aContext.mMembersNumber) {
+    mMembersNumber = aContext.mMembersNumber;
+    mSchedulers.clear();
+  }
+  const auto [it, isNew] = mSchedulers.try_emplace(aShard.mId);
+  if (isNew) {
+    it->second = detail::SchedulerOf(aShard, aContext.mMembers);
+  }
+  return it->second;
 }
 
 NodeId
@@ -63,7 +80,7 @@
           return aOne->mName == aServer;
         })) {
       aPlace.mShard = shard->mId;
-      return detail::SchedulerOf(*shard, aContext.mMembers);
+      return SchedulerOf(aContext, *shard);
     }
   }
   return NodeId{};
--- a/packages/peer/src/transport/loop.cpp
+++ b/packages/peer/src/transport/loop.cpp
@@ -128,7 +128,6 @@
     Wait();
     ProcessSendRequests();
     OnTimer();
-    RemoveClosedLinks();
   }
   FlushAndClose();
 }
@@ -195,15 +194,22 @@
   return {};
 }
 
+// Visits every link, so it runs at a fixed rate and not after each message: a
+// node that many others send to has hundreds of links.
 void
 PeerTransport::Loop::OnTimer()
 {
+  if (mContext.mNow < mNextTimerAt) {
+    return;
+  }
+  mNextTimerAt = mContext.mNow + kMaxPollWait;
   for (const auto& [address, link] : mOutgoing) {
     link->OnTimer();
   }
   for (const auto& link : mIncoming) {
     link->OnTimer();
   }
+  RemoveClosedLinks();
 }
 
 void
--- a/packages/peer/src/transport/loop.h
+++ b/packages/peer/src/transport/loop.h
@@ -64,6 +64,7 @@
   std::shared_ptr<const detail::KeyRing> mPendingKeys;
 
   std::atomic<bool> mIsWakePending{ false };
+  Instant mNextTimerAt{};
   std::atomic<bool> mIsStopping{ false };
   std::thread mThread;
 };
--- a/tests/unit-entries.cpp
+++ b/tests/unit-entries.cpp
@@ -78,6 +78,15 @@
   return worst;
 }
 
+// Entries are ordered by preference, not by name as FindMember expects.
+bool
+Contains(const Members& aNodes, const NodeId& aNode)
+{
+  return std::any_of(aNodes.begin(), aNodes.end(), [&](const Member& aMember) {
+    return aMember.mNode == aNode;
+  });
+}
+
 } // namespace
 
 TEST_GROUP(Entries){};
@@ -123,7 +132,7 @@
       const Entries entries =
         EntriesFor(members, Configuration{}, QueryAt(ZoneAt(0), i));
       CHECK_EQUAL(3U, entries.mNodes.size());
-      CHECK(FindMember(entries.mNodes, members[1].mNode) == nullptr);
+      CHECK_FALSE(Contains(entries.mNodes, members[1].mNode));
     }
   }
   CHECK(EntriesFor({}, Configuration{}, QueryAt(ZoneAt(0), 1)).mNodes.empty());
@@ -137,7 +146,7 @@
     const Entries entries =
       EntriesFor(members, Configuration{}, QueryAt(ZoneAt(0), i));
     CHECK_EQUAL(3U, entries.mNodes.size());
-    CHECK(FindMember(entries.mNodes, members[1].mNode) == nullptr);
+    CHECK_FALSE(Contains(entries.mNodes, members[1].mNode));
   }
 }
 
