Nodes with large processor shares schedule, read the store and take callers

The answer to callers listed all 295 addresses in the order of their text; callers use at most 64, so the small nodes of one zone took all load.

Change: a node publishes its processor share (settings, member record). Those with at least half of the largest share schedule, read the store and are the entries; with fewer than 8 of them, or more than 64, the entries are the 64 with the largest shares, spread over the zones. Nodes with equal shares, or of an older version, which publish none, behave as before.

--- a/packages/core/include/heatherfork/detail/scheduling/shard_map.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_map.h
@@ -51,7 +51,7 @@
   std::map<ServiceName, std::vector<const Shard*>> mByService;
 };
 
-/// Returns the live node that schedules a shard, selected by rendezvous
+/// Returns the duty member that schedules a shard, selected by rendezvous
 /// hashing. Nodes in the availability zone of the shard take precedence. The
 /// incarnation is 0 when no node is alive.
 NodeId
--- a/packages/core/include/heatherfork/detail/trace/configuration_fields.h
+++ b/packages/core/include/heatherfork/detail/trace/configuration_fields.h
@@ -144,6 +144,7 @@
          Field{ "zone", &NodeSettings::mZone },
          Field{ "caller_address", &NodeSettings::mCallerAddress },
          Field{ "peer_address", &NodeSettings::mPeerAddress },
+         Field{ "processor_share", &NodeSettings::mProcessorShare },
          Field{ "seed", &NodeSettings::mSeed },
          Field{ "seeds", &NodeSettings::mSeeds },
          Field{ "policy", &NodeSettings::mPolicy },
--- a/packages/core/include/heatherfork/detail/trace/fleet_fields.h
+++ b/packages/core/include/heatherfork/detail/trace/fleet_fields.h
@@ -19,7 +19,8 @@
          Field{ "status", &Member::mStatus },
          Field{ "epoch", &Member::mEpoch },
          Field{ "generation", &Member::mGeneration },
-         Field{ "version", &Member::mVersion });
+         Field{ "version", &Member::mVersion },
+         Field{ "processor_share", &Member::mProcessorShare });
 
 template<>
 inline constexpr auto kFields<Probe> =
--- a/packages/core/include/heatherfork/member.h
+++ b/packages/core/include/heatherfork/member.h
@@ -28,6 +28,7 @@
   std::uint32_t mEpoch = 0;      ///< Rises when the node refutes its own death.
   std::uint64_t mGeneration = 0; ///< Orders incarnations of one name.
   std::uint32_t mVersion = 0;    ///< Rises with each update by the node itself.
+  std::uint32_t mProcessorShare = 0; ///< Thousandths of a core; 0 if unknown.
 
   auto operator<=>(const Member&) const = default;
 };
--- a/packages/core/include/heatherfork/node_settings.h
+++ b/packages/core/include/heatherfork/node_settings.h
@@ -40,9 +40,10 @@
 {
   NodeId mSelf;
   ZoneName mZone;
-  Address mCallerAddress;      ///< For callers.
-  Address mPeerAddress;        ///< For other nodes.
-  std::uint64_t mSeed = 0;     ///< For the random number generator.
+  Address mCallerAddress;            ///< For callers.
+  Address mPeerAddress;              ///< For other nodes.
+  std::uint32_t mProcessorShare = 0; ///< Thousandths of a core; 0 if unknown.
+  std::uint64_t mSeed = 0;           ///< For the random number generator.
   std::vector<Address> mSeeds; ///< Peer addresses to try first when joining.
   PolicySettings mPolicy;
   MembershipSettings mMembership;
--- a/packages/core/include/heatherfork/relay_reducer.h
+++ b/packages/core/include/heatherfork/relay_reducer.h
@@ -40,9 +40,9 @@
   RelayView View() const;
   const Members& KnownMembers() const;
 
-  /// Caller addresses of the nodes that serve, for callers from a zone;
-  /// includes this node while it is ready.
-  std::vector<Address> EntriesFor(const ZoneName& aZone) const;
+  /// Addresses for callers, see EntryAddresses; this node's only while it is
+  /// ready.
+  std::vector<Address> Entries() const;
 
 private:
   struct State;
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -35,12 +35,12 @@
 {
   const auto maxMembers =
     static_cast<std::size_t>(mMembershipSettings.mMaxMembers);
-  mTable.Merge(Member{ mSettings.mSelf,
-                       mSettings.mZone,
-                       mSettings.mCallerAddress,
-                       mSettings.mPeerAddress },
-               Instant{},
-               maxMembers);
+  Member self{ mSettings.mSelf,
+               mSettings.mZone,
+               mSettings.mCallerAddress,
+               mSettings.mPeerAddress };
+  self.mProcessorShare = mSettings.mProcessorShare;
+  mTable.Merge(self, Instant{}, maxMembers);
   for (const Member& member : aKnown) {
     if (member.mNode.mName != mSettings.mSelf.mName) {
       mTable.Merge(member, Instant{}, maxMembers);
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -10,6 +10,7 @@
 #include "heatherfork/detail/relay/relay_requests.h"
 #include "heatherfork/detail/relay/replica_registry.h"
 #include "heatherfork/detail/scheduling/predictive_scheduler.h"
+#include "heatherfork/duty_members.h"
 
 namespace heatherfork {
 
@@ -27,6 +28,9 @@
 // off before the last sixth of the period count as cut too soon.
 constexpr int kGraceReserveDivisor = 10;
 
+// Callers ignore further addresses.
+constexpr std::size_t kMaxEntries = 64;
+
 } // namespace
 
 struct RelayReducer::State : public detail::MembershipListener
@@ -418,18 +422,15 @@
 }
 
 std::vector<Address>
-RelayReducer::EntriesFor(const ZoneName& /*aZone*/) const
+RelayReducer::Entries() const
 {
-  std::set<Address> entries;
-  for (const Member& member : mState->mMembership.All()) {
-    const bool isSelf = member.mNode == mState->mSettings.mSelf;
-    const bool serves =
-      isSelf ? View().IsReady() : member.mStatus == MemberStatus::kAlive;
-    if (serves && !member.mCallerAddress.Empty()) {
-      entries.insert(member.mCallerAddress);
-    }
+  Members members = mState->mMembership.All();
+  if (!View().IsReady()) {
+    std::erase_if(members, [&](const Member& aMember) {
+      return aMember.mNode == mState->mSettings.mSelf;
+    });
   }
-  return { entries.begin(), entries.end() };
+  return EntryAddresses(members, kMaxEntries);
 }
 
 } // namespace heatherfork
--- a/packages/core/src/relay/store_readers.cpp
+++ b/packages/core/src/relay/store_readers.cpp
@@ -1,27 +1,29 @@
 #include "heatherfork/store_readers.h"
 
 #include "heatherfork/detail/scheduling/rendezvous.h"
+#include "heatherfork/duty_members.h"
 
 namespace heatherfork {
 
 namespace {
 
-/// The alive member with the highest rendezvous weight among those that aFilter
+/// The member with the highest rendezvous weight among those that aFilter
 /// accepts; null when it accepts none.
 template<class Filter>
 const Member*
-HighestWeighted(const Members& aMembers, const Filter& aFilter)
+HighestWeighted(const std::vector<const Member*>& aMembers,
+                const Filter& aFilter)
 {
   const Member* best = nullptr;
   std::uint64_t maxWeight = 0;
-  for (const Member& member : aMembers) {
-    if (member.mStatus != MemberStatus::kAlive || !aFilter(member)) {
+  for (const Member* member : aMembers) {
+    if (!aFilter(*member)) {
       continue;
     }
     const std::uint64_t weight =
-      detail::RendezvousWeight("store", member.mNode.mName.mValue);
+      detail::RendezvousWeight("store", member->mNode.mName.mValue);
     if (best == nullptr || weight > maxWeight) {
-      best = &member;
+      best = member;
       maxWeight = weight;
     }
   }
@@ -35,17 +37,17 @@
 bool
 IsStoreReader(const Members& aMembers, const NodeId& aNode)
 {
+  const std::vector<const Member*> duty = DutyMembers(aMembers);
   const Member* first =
-    HighestWeighted(aMembers, [](const Member&) { return true; });
+    HighestWeighted(duty, [](const Member&) { return true; });
   if (first == nullptr) {
     return false;
   }
-  const Member* second = HighestWeighted(aMembers, [&](const Member& aMember) {
-    return aMember.mZone != first->mZone;
-  });
+  const Member* second = HighestWeighted(
+    duty, [&](const Member& aMember) { return aMember.mZone != first->mZone; });
   if (second == nullptr) {
     second = HighestWeighted(
-      aMembers, [&](const Member& aMember) { return &aMember != first; });
+      duty, [&](const Member& aMember) { return &aMember != first; });
   }
   return first->mNode == aNode || (second != nullptr && second->mNode == aNode);
 }
--- a/packages/core/src/scheduling/shard_map.cpp
+++ b/packages/core/src/scheduling/shard_map.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "heatherfork/detail/scheduling/rendezvous.h"
+#include "heatherfork/duty_members.h"
 
 namespace heatherfork::detail {
 
@@ -150,13 +151,10 @@
 {
   const Member* local = nullptr;
   const Member* any = nullptr;
-  for (const Member& member : aMembers) {
-    if (member.mStatus != MemberStatus::kAlive) {
-      continue;
-    }
-    any = HigherWeight(aShard, any, member);
-    if (member.mZone == aShard.mId.mZone) {
-      local = HigherWeight(aShard, local, member);
+  for (const Member* member : DutyMembers(aMembers)) {
+    any = HigherWeight(aShard, any, *member);
+    if (member->mZone == aShard.mId.mZone) {
+      local = HigherWeight(aShard, local, *member);
     }
   }
   const Member* chosen = local != nullptr ? local : any;
--- a/packages/node/src/settings/relay_settings.cpp
+++ b/packages/node/src/settings/relay_settings.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::int64_t kMinuteMs = 60000;
 constexpr std::size_t kMinKeyLength = 16;
+constexpr double kThousandthsPerCore = 1000;
 
 void
 ReadNode(const toml::table& aTable, RelaySettingsResult& aResult)
@@ -27,6 +28,12 @@
   settings.mCallerListen = node.mCallerAddress;
   settings.mPeerListen = node.mPeerAddress;
   reader.Read("seeds", node.mSeeds);
+  double processorShare = 0;
+  double processors = 1;
+  reader.Read("processor_share", processorShare, Range{ 0, 1 });
+  reader.Read("processors", processors, Range{ 0, 1024 });
+  node.mProcessorShare = static_cast<std::uint32_t>(
+    processorShare * processors * kThousandthsPerCore);
   reader.Read("info_addresses", settings.mInfoListen);
   reader.Read("metrics_address", settings.mMetricsListen, Presence::kOptional);
   reader.Finish();
--- a/packages/peer/src/codec/fields.h
+++ b/packages/peer/src/codec/fields.h
@@ -77,7 +77,7 @@
   aConverter(aCore.mTokens, aWire.tokens);
 }
 
-static_assert(detail::trace::CountFields<Member>() == 8);
+static_assert(detail::trace::CountFields<Member>() == 9);
 template<class Converter,
          MaybeConst<Member> Core,
          MaybeConst<wire::MemberT> Wire>
@@ -92,6 +92,7 @@
   aConverter(aCore.mEpoch, aWire.epoch);
   aConverter(aCore.mGeneration, aWire.generation);
   aConverter(aCore.mVersion, aWire.version);
+  aConverter(aCore.mProcessorShare, aWire.processor_share);
 }
 
 static_assert(detail::trace::CountFields<ForwardRequest>() == 2);
--- a/packages/relay/src/relay_node_calls.cpp
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -123,11 +123,10 @@
     aConnection.Finish(true);
     return true;
   }
-  const auto entries = mWire.ReadEntriesCall(aHead);
-  if (!entries) {
+  if (!mWire.ReadEntriesCall(aHead)) {
     return false;
   }
-  const auto addresses = mReducer.EntriesFor(ZoneName{ entries->mZone });
+  const auto addresses = mReducer.Entries();
   if (addresses.empty()) {
     aConnection.Send(
       mWire.WriteError("",
