Bytes without end from a replica end that call, and no other waits

Cause: a node buffered up to 64 MB of any answer; the end of an event was sought in the whole buffer after each read; a connection was read until it was empty.

Change: an answer that reaches no caller is limited to 64 KiB, one that does to max_answer_bytes, all together to a quarter of memory_mb; an event to 256 KiB, looked at once; skipped responses to 16; a connection is read 16 times a turn. Comments of a stream show no progress and are sent with the next event, at most 64 KiB. An error never follows the head of a success. The reason of a failed call stands in its log line. An answer of the store is limited to 16 MiB.

--- a/packages/core/include/heatherfork/relay_event.h
+++ b/packages/core/include/heatherfork/relay_event.h
@@ -60,6 +60,7 @@
   std::string mCacheId;   ///< Of a completed prefill.
   int mEvents = 0;        ///< Number of stream events in this call.
   std::string mLastEvent; ///< Id of the last event sent to the caller.
+  std::string mReason;    ///< Of a failure, for the log.
   auto operator<=>(const RelayCallEnded&) const = default;
 };
 
--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -153,12 +153,14 @@
   if (request == nullptr || request->mPhase == Phase::kPlacing) {
     return;
   }
-  LogRequestEvent(aContext,
-                  "replied",
-                  *request,
-                  "result=" + std::string(NameOf(aEvent.mResult)) +
-                    " status=" + std::to_string(aEvent.mStatus) +
-                    " call=" + std::to_string(aEvent.mCall.mNumber));
+  LogRequestEvent(
+    aContext,
+    "replied",
+    *request,
+    "result=" + std::string(NameOf(aEvent.mResult)) +
+      " status=" + std::to_string(aEvent.mStatus) +
+      " call=" + std::to_string(aEvent.mCall.mNumber) +
+      (aEvent.mReason.empty() ? "" : " reason=\"" + aEvent.mReason + '"'));
   if (request->mPhase == Phase::kPrefilling) {
     OnPrefilled(aContext, *request, aEvent);
     return;
--- a/packages/node/src/settings/relay_settings.cpp
+++ b/packages/node/src/settings/relay_settings.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t kMinuteMs = 60000;
 constexpr std::size_t kMinKeyLength = 16;
 constexpr double kThousandthsPerCore = 1000;
+constexpr std::size_t kBytesPerMegabyte = std::size_t{ 1 } << 20;
 
 void
 ReadNode(const toml::table& aTable, RelaySettingsResult& aResult)
@@ -32,6 +33,9 @@
   double processors = 1;
   reader.Read("processor_share", processorShare, Range{ 0, 1 });
   reader.Read("processors", processors, Range{ 0, 1024 });
+  std::size_t memory = settings.mMemoryBytes / kBytesPerMegabyte;
+  reader.Read("memory_mb", memory, Range{ 16, 1048576 });
+  settings.mMemoryBytes = memory * kBytesPerMegabyte;
   node.mProcessorShare = static_cast<std::uint32_t>(
     processorShare * processors * kThousandthsPerCore);
   reader.Read("info_addresses", settings.mInfoListen);
@@ -70,6 +74,9 @@
   reader.ReadSeconds("grace_s", relay.mGracePeriod, Range{ 1, 600 });
   reader.ReadMilliseconds(
     "entries_validity_ms", relay.mEntriesValidity, Range{ 1000, kMinuteMs });
+  reader.Read("max_answer_bytes",
+              aResult.mSettings.mMaxAnswerBytes,
+              Range{ 1024, std::int64_t{ 1 } << 30 });
   reader.Finish();
 }
 
--- a/packages/relay/include/heatherfork/detail/relay/event_stream.h
+++ b/packages/relay/include/heatherfork/detail/relay/event_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -7,29 +8,44 @@
 /// Splits a byte stream into server-sent events.
 namespace heatherfork::relay {
 
-/// The bytes of one event, including the final empty line, and its id. The id
-/// is empty if the event has none.
+/// The bytes of one event, including the final empty line.
 struct StreamEvent
 {
   std::string mBytes;
-  std::string mId;
+  std::string mId;         ///< Empty if the event has none.
+  bool mHasFields = false; ///< Not only comments and empty lines.
 };
 
 class EventStream
 {
 public:
-  void Add(std::string_view aBytes) { mBuffer.append(aBytes); }
+  /// Largest event; a replica that sends more without an end of the event is
+  /// in trouble.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{ 256 } << 10;
 
-  /// Removes and returns the next complete event, if any.
+  void Add(std::string_view aBytes);
+
+  /// Removes and returns the next complete event, if any. Looks at each byte
+  /// once.
   std::optional<StreamEvent> TakeNext();
 
   /// Whether an incomplete event is buffered.
-  bool HasPartialEvent() const { return !mBuffer.empty(); }
+  bool HasPartialEvent() const { return mBegin < mBuffer.size(); }
+
+  /// Whether the incomplete event is larger than kMaxEventBytes.
+  bool IsEventTooLarge() const
+  {
+    return mBuffer.size() - mBegin > kMaxEventBytes;
+  }
 
-  void Clear() { mBuffer.clear(); }
+  void Clear();
 
 private:
+  std::size_t FindEnd();
+
   std::string mBuffer;
+  std::size_t mBegin = 0;   ///< Of the next event.
+  std::size_t mScanned = 0; ///< No event ends before it.
 };
 
 } // namespace heatherfork::relay
--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "heatherfork/detail/relay/answer_limits.h"
 #include "heatherfork/detail/relay/caller_port.h"
 #include "heatherfork/detail/relay/event_stream.h"
 #include "heatherfork/detail/relay/server_connection.h"
@@ -20,7 +21,9 @@
   const RelayWire& mWire;
   ConnectionPool& mPool;
   std::function<void(RelayEventBody)> mPost; ///< Queues an event.
-  bool mIsLeaving = false;                   ///< Close after the answer.
+  std::size_t mMaxAnswerBytes = 0; ///< Buffered for one answer to a caller.
+  AnswerBudget mAnswerBudget{ 0 };
+  bool mIsLeaving = false; ///< Close after the answer.
 };
 
 /// Runs the calls that the reducer orders for one request and sends the
@@ -55,10 +58,17 @@
   void OnDone() override;
   void OnFailed(const std::string& aReason, bool aMayHaveSent) override;
 
-  void ReportEnd(RelayResult aResult);
+  /// Buffers bytes of a response that is not forwarded as it arrives. Returns
+  /// false if it exceeds its limit.
+  bool BufferReply(std::string_view aBytes);
+  bool IsDeliverable() const;
+  void DropReply();
+  void EndCall(RelayResult aResult, std::string aReason);
+  void ReportEnd(RelayResult aResult, std::string aReason = "");
   RelayResult ClassifyResult() const;
   bool IsForwardingEvents() const;
-  void ForwardEvents();
+  /// Returns false if the replica sends no events but other bytes.
+  bool ForwardEvents();
   void SendHead(std::optional<std::size_t> aLength);
   bool ShouldKeepOpen() const;
 
@@ -75,10 +85,12 @@
   ResponseFlags mFlags;
   bool mHasReply = false;
   std::string mReplyBody;
+  std::size_t mReceivedBytes = 0; ///< Of the body.
+  std::string mComments;          ///< Of a stream, since its last event.
   EventStream mEvents;
   int mEventsInCall = 0;
   Instant mStartedAt{};
-  Instant mLastReceivedAt{};
+  Instant mLastReceivedAt{}; ///< Of body bytes, or of an event of a stream.
 
   // State of the response to the caller.
   bool mHasSentHead = false;
--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -71,6 +71,7 @@
   void ReadAll();
   void ProcessInput();
   void HandleHead();
+  bool CanSkipMore(std::size_t aBodyBytes);
   void UpdateInterest();
   void CloseSocket();
 
@@ -86,6 +87,8 @@
   HttpReader mReader;
   bool mHasHandledHead = false;
   bool mIsSkippingResponse = false;
+  int mSkippedResponses = 0; ///< In this exchange.
+  std::size_t mSkippedBytes = 0;
   bool mIsHeadRequest = false;
   bool mHasPeerClosed = false;
   Duration mIdleTimeout;
--- a/packages/relay/include/heatherfork/relay_node.h
+++ b/packages/relay/include/heatherfork/relay_node.h
@@ -25,6 +25,9 @@
   Address mMetricsListen;           ///< Metrics are disabled when empty.
   Address mStoreAddress;
   std::string mLogLevel = "info";
+  std::size_t mMemoryBytes = std::size_t{ 256 } << 20;  ///< Of the machine.
+  std::size_t mMaxAnswerBytes = std::size_t{ 4 } << 20; ///< Of one answer that
+                                                        ///< is no stream.
 
   auto operator<=>(const RelayNodeSettings&) const = default;
 };
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -23,6 +23,10 @@
 // Bounded, so that a burst of new connections does not delay open ones.
 constexpr int kMaxAcceptsPerWakeup = 64;
 
+// Reads of one connection per event of the loop, so that a caller that sends
+// without end does not hold up the others.
+constexpr int kMaxReadsPerEvent = 16;
+
 constexpr int kHttpBadRequest = 400;
 constexpr int kHttpRequestTimeout = 408;
 constexpr int kHttpContentTooLarge = 413;
@@ -113,7 +117,7 @@
 void
 CallerConnection::ReadAll()
 {
-  while (mDescriptor >= 0) {
+  for (int reads = 0; mDescriptor >= 0 && reads < kMaxReadsPerEvent; ++reads) {
     const IoResult result = ReadSome(mDescriptor, mInput);
     if (result == IoResult::kWouldBlock) {
       break;
--- a/packages/relay/src/event_stream.cpp
+++ b/packages/relay/src/event_stream.cpp
@@ -6,43 +6,102 @@
 
 namespace {
 
-// Returns the value of the first "id: VALUE" line; empty if there is none.
-std::string
-IdOf(std::string_view aEvent)
+/// Removes the first line and returns it without its end.
+std::string_view
+TakeLine(std::string_view& aText)
 {
-  while (!aEvent.empty()) {
-    const std::size_t end = std::min(aEvent.find('\n'), aEvent.size());
-    std::string_view line = aEvent.substr(0, end);
-    aEvent.remove_prefix(std::min(end + 1, aEvent.size()));
-    if (!line.empty() && line.back() == '\r') {
-      line.remove_suffix(1);
+  const std::size_t end = std::min(aText.find('\n'), aText.size());
+  std::string_view line = aText.substr(0, end);
+  aText.remove_prefix(std::min(end + 1, aText.size()));
+  if (!line.empty() && line.back() == '\r') {
+    line.remove_suffix(1);
+  }
+  return line;
+}
+
+// Reads the first "id: VALUE" line, and whether there are lines other than
+// comments.
+void
+ReadFields(StreamEvent& aEvent)
+{
+  std::string_view left = aEvent.mBytes;
+  while (!left.empty()) {
+    std::string_view line = TakeLine(left);
+    if (line.empty() || line.front() == ':') {
+      continue;
     }
+    aEvent.mHasFields = true;
     if (line.substr(0, 3) == "id:") {
       line.remove_prefix(3);
       if (!line.empty() && line.front() == ' ') {
         line.remove_prefix(1);
       }
-      return std::string(line);
+      aEvent.mId = line;
+      return;
     }
   }
-  return {};
 }
 
 } // namespace
 
+void
+EventStream::Add(std::string_view aBytes)
+{
+  if (mBegin > 0) {
+    mBuffer.erase(0, mBegin);
+    mScanned -= mBegin;
+    mBegin = 0;
+  }
+  mBuffer.append(aBytes);
+}
+
+// Returns the position after the empty line that ends the next event, or npos.
+// Lines may end with LF or with CRLF.
+std::size_t
+EventStream::FindEnd()
+{
+  while (true) {
+    const std::size_t lineEnd = mBuffer.find('\n', mScanned);
+    if (lineEnd == std::string::npos) {
+      mScanned = mBuffer.size();
+      return std::string::npos;
+    }
+    std::size_t next = lineEnd + 1;
+    if (next < mBuffer.size() && mBuffer[next] == '\r') {
+      ++next;
+    }
+    if (next == mBuffer.size()) {
+      mScanned = lineEnd;
+      return std::string::npos;
+    }
+    if (mBuffer[next] == '\n') {
+      mScanned = next + 1;
+      return mScanned;
+    }
+    mScanned = lineEnd + 1;
+  }
+}
+
 std::optional<StreamEvent>
 EventStream::TakeNext()
 {
-  const std::size_t lfEnd = mBuffer.find("\n\n");
-  const std::size_t crlfEnd = mBuffer.find("\r\n\r\n");
-  if (lfEnd == std::string::npos && crlfEnd == std::string::npos) {
+  const std::size_t end = FindEnd();
+  if (end == std::string::npos) {
     return std::nullopt;
   }
-  const std::size_t end = lfEnd < crlfEnd ? lfEnd + 2 : crlfEnd + 4;
-  StreamEvent event{ mBuffer.substr(0, end), "" };
-  event.mId = IdOf(event.mBytes);
-  mBuffer.erase(0, end);
+  StreamEvent event;
+  event.mBytes = mBuffer.substr(mBegin, end - mBegin);
+  mBegin = end;
+  ReadFields(event);
   return event;
 }
 
+void
+EventStream::Clear()
+{
+  mBuffer.clear();
+  mBegin = 0;
+  mScanned = 0;
+}
+
 } // namespace heatherfork::relay
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -47,6 +47,7 @@
 Exchange::~Exchange()
 {
   Stop();
+  DropReply();
 }
 
 bool
@@ -61,7 +62,9 @@
   Stop();
   mCall = aCall;
   mHasReply = false;
-  mReplyBody.clear();
+  DropReply();
+  mReceivedBytes = 0;
+  mComments.clear();
   mEvents.Clear();
   mEventsInCall = 0;
   mStartedAt = aNow;
@@ -106,32 +109,82 @@
          !mFlags.mIsEncoded && !mFlags.mIsNotRun;
 }
 
+// Only what reaches the caller, or names the KV cache, is worth its memory.
+bool
+Exchange::IsDeliverable() const
+{
+  return mCall->mStage != RelayStage::kPrefill && mFlags.mIsSigned &&
+         !mFlags.mIsEncoded && !mFlags.mIsNotRun && !mFlags.mIsMisdirected;
+}
+
+bool
+Exchange::BufferReply(std::string_view aBytes)
+{
+  const std::size_t limit =
+    IsDeliverable() ? mContext.mMaxAnswerBytes : kMaxInternalAnswerBytes;
+  if (mReceivedBytes > limit ||
+      !mContext.mAnswerBudget.TryTake(aBytes.size())) {
+    return false;
+  }
+  mReplyBody.append(aBytes);
+  return true;
+}
+
+void
+Exchange::DropReply()
+{
+  mContext.mAnswerBudget.GiveBack(mReplyBody.size());
+  mReplyBody = std::string{};
+}
+
 void
 Exchange::OnBody(std::string_view aBytes)
 {
-  mLastReceivedAt = SteadyNow();
+  mReceivedBytes += aBytes.size();
   if (!IsForwardingEvents()) {
-    mReplyBody.append(aBytes);
+    mLastReceivedAt = SteadyNow();
+    if (!BufferReply(aBytes)) {
+      EndCall(RelayResult::kBroken,
+              "answer exceeds its limit after " +
+                std::to_string(mReceivedBytes) + " bytes");
+    }
     return;
   }
   mEvents.Add(aBytes);
-  ForwardEvents();
+  if (!ForwardEvents()) {
+    EndCall(RelayResult::kBroken, "stream without events");
+  }
 }
 
-void
+// Comments are forwarded with the next event but show no progress: a stalled
+// replica may send them without end. Nothing is sent before the first event, so
+// that a call that fails before it can still be refused or repeated.
+bool
 Exchange::ForwardEvents()
 {
   const bool isFirst = mEventsInCall == 0;
   std::string out;
   while (auto event = mEvents.TakeNext()) {
-    out += EncodeChunk(event->mBytes);
+    if (!event->mHasFields) {
+      mComments += event->mBytes;
+      if (mComments.size() > kMaxCommentBytes) {
+        return false;
+      }
+      continue;
+    }
+    out += EncodeChunk(mComments + event->mBytes);
+    mComments.clear();
+    mLastReceivedAt = SteadyNow();
     ++mEventsInCall;
     if (!event->mId.empty()) {
       mLastEvent = event->mId;
     }
   }
+  if (mEvents.IsEventTooLarge()) {
+    return false;
+  }
   if (out.empty()) {
-    return;
+    return true;
   }
   if (!mHasSentHead) {
     SendHead(std::nullopt);
@@ -140,6 +193,7 @@
   if (isFirst) {
     mContext.mPost(RelayStreamStarted{ mCall->mCall });
   }
+  return true;
 }
 
 void
@@ -207,15 +261,24 @@
 }
 
 void
-Exchange::OnFailed(const std::string& /*aReason*/, bool aMayHaveSent)
+Exchange::OnFailed(const std::string& aReason, bool aMayHaveSent)
 {
   ServerConnectionPtr server = std::move(mServerConnection);
   mContext.mPool.Release(std::move(server));
-  ReportEnd(aMayHaveSent ? RelayResult::kBroken : RelayResult::kNotSent);
+  ReportEnd(aMayHaveSent ? RelayResult::kBroken : RelayResult::kNotSent,
+            aReason);
+}
+
+void
+Exchange::EndCall(RelayResult aResult, std::string aReason)
+{
+  mServerConnection->Abandon();
+  mContext.mPool.Release(std::move(mServerConnection));
+  ReportEnd(aResult, std::move(aReason));
 }
 
 void
-Exchange::ReportEnd(RelayResult aResult)
+Exchange::ReportEnd(RelayResult aResult, std::string aReason)
 {
   RelayCallEnded ended;
   ended.mCall = mCall->mCall;
@@ -223,6 +286,7 @@
   ended.mStatus = mHasReply ? mReply.mStatus : 0;
   ended.mEvents = mEventsInCall;
   ended.mLastEvent = mLastEvent;
+  ended.mReason = std::move(aReason);
   if (mCall->mStage == RelayStage::kPrefill && aResult == RelayResult::kDone) {
     ended.mCacheId = mContext.mWire.ReadCacheId(mReplyBody);
   }
@@ -245,20 +309,24 @@
   if (!isConnectTimeout && !isReadTimeout) {
     return;
   }
-  mServerConnection->Abandon();
-  mContext.mPool.Release(std::move(mServerConnection));
-  ReportEnd(isConnectTimeout ? RelayResult::kNotSent : RelayResult::kBroken);
+  EndCall(isConnectTimeout ? RelayResult::kNotSent : RelayResult::kBroken,
+          isConnectTimeout ? "no connection in time" : "replica is silent");
 }
 
 void
 Exchange::ForwardResponse()
 {
   if (mHasSentHead) {
+    if (!mComments.empty()) {
+      mConnection.Send(EncodeChunk(mComments));
+    }
     mConnection.Send("0\r\n\r\n");
   } else {
-    SendHead(mReplyBody.size());
+    // A stream without events leaves only its comments.
+    const std::string& body = mComments.empty() ? mReplyBody : mComments;
+    SendHead(body.size());
     if (mHead.mMethod != "HEAD") {
-      mConnection.Send(mReplyBody);
+      mConnection.Send(body);
     }
   }
   mConnection.Finish(ShouldKeepOpen());
@@ -267,6 +335,10 @@
 void
 Exchange::Refuse(const Error& aError, int aStatus, Duration aRetryAfter)
 {
+  if (mHasSentHead) {
+    mConnection.Abort(); // An error can't follow the head of a success.
+    return;
+  }
   mConnection.Send(mContext.mWire.WriteError(
     mRequestId, aError, aStatus, aRetryAfter, !ShouldKeepOpen()));
   mConnection.Finish(ShouldKeepOpen());
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -25,6 +25,9 @@
 // It must fit into the grace period.
 constexpr Duration kPeerConnectTimeout = Milliseconds(500);
 
+// Buffered answers may take this part of the machine's memory.
+constexpr std::size_t kAnswerMemoryDivisor = 4;
+
 LogLevel
 ParseLogLevel(const std::string& aName)
 {
@@ -59,7 +62,10 @@
   , mPool(mLoop)
   , mExchangeContext{ mWire,
                       mPool,
-                      [this](RelayEventBody aBody) { Post(std::move(aBody)); } }
+                      [this](RelayEventBody aBody) { Post(std::move(aBody)); },
+                      mSettings.mMaxAnswerBytes,
+                      AnswerBudget(mSettings.mMemoryBytes /
+                                   kAnswerMemoryDivisor) }
   , mCallerPort(mLoop, *this)
   , mMetricsListener([this] { return MetricsText(); })
   , mMetricsPort(mLoop, mMetricsListener)
--- a/packages/relay/src/relay_node_calls.cpp
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -39,7 +39,13 @@
   }
 
   bool OnHead(const HttpHead&) override { return true; }
-  void OnBody(std::string_view) override {}
+  void OnBody(std::string_view aBytes) override
+  {
+    mReceivedBytes += aBytes.size();
+    if (mReceivedBytes > kMaxInternalAnswerBytes) {
+      mConnection->Abandon();
+    }
+  }
   void OnDone() override { mPool.Release(std::move(mConnection)); }
   void OnFailed(const std::string&, bool) override
   {
@@ -49,6 +55,7 @@
 private:
   ConnectionPool& mPool;
   ServerConnectionPtr mConnection;
+  std::size_t mReceivedBytes = 0;
 };
 
 // The oldest call is cancelled when there are more.
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -22,6 +22,15 @@
 
 constexpr std::size_t kMaxIdleConnections = 256; // For all addresses together.
 
+// Reads of one connection per event of the loop, so that a replica that sends
+// without end does not hold up the others.
+constexpr int kMaxReadsPerEvent = 16;
+
+// Interim responses and responses to other requests before the awaited one, and
+// the bytes of their bodies.
+constexpr int kMaxSkippedResponses = 16;
+constexpr std::size_t kMaxSkippedBytes = std::size_t{ 1 } << 20;
+
 // Parses "timeout=5" (whole seconds) in the Keep-Alive field.
 Duration
 ReadIdleTimeout(const HttpHead& aHead)
@@ -77,6 +86,8 @@
   mIsHeadRequest = aIsHeadRequest;
   mHasHandledHead = false;
   mIsSkippingResponse = false;
+  mSkippedResponses = 0;
+  mSkippedBytes = 0;
   mReader.Reset(aIsHeadRequest);
   if (mDescriptor < 0) {
     mDescriptor = BeginConnect(mAddress);
@@ -194,7 +205,9 @@
 ServerConnection::ReadAll()
 {
   const std::shared_ptr<bool> alive = mIsAlive;
-  while (*alive && mDescriptor >= 0 && mListener != nullptr) {
+  for (int reads = 0; *alive && mDescriptor >= 0 && mListener != nullptr &&
+                      reads < kMaxReadsPerEvent;
+       ++reads) {
     const IoResult result = ReadSome(mDescriptor, mInput);
     if (result == IoResult::kWouldBlock) {
       if (!mHasPeerClosed && mWrittenBytes < mOutput.size() && mMayHaveSent &&
@@ -232,6 +245,14 @@
   mIdleTimeout = ReadIdleTimeout(head);
 }
 
+bool
+ServerConnection::CanSkipMore(std::size_t aBodyBytes)
+{
+  mSkippedBytes += aBodyBytes;
+  return mSkippedResponses < kMaxSkippedResponses &&
+         mSkippedBytes <= kMaxSkippedBytes;
+}
+
 void
 ServerConnection::ProcessInput()
 {
@@ -248,6 +269,10 @@
         return;
       }
     }
+    if (mIsSkippingResponse && !CanSkipMore(body.size())) {
+      Fail("too many responses that answer nothing");
+      return;
+    }
     if (!body.empty() && !mIsSkippingResponse) {
       mListener->OnBody(body);
       if (!*alive || mListener == nullptr) {
@@ -272,6 +297,7 @@
     }
     mReader.Reset(mIsHeadRequest);
     mHasHandledHead = false;
+    ++mSkippedResponses;
     if (mInput.empty()) {
       if (mHasPeerClosed) {
         Fail("connection closed without a response");
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -1,5 +1,7 @@
 #include "heatherfork/detail/relay/store_reader.h"
 
+#include "heatherfork/detail/relay/answer_limits.h"
+
 namespace heatherfork::relay {
 
 namespace {
@@ -81,6 +83,13 @@
 void
 StoreReader::OnBody(std::string_view aBytes)
 {
+  if (mBody.size() + aBytes.size() > kMaxStoreAnswerBytes) {
+    mConnection->Abandon();
+    mBody = std::string{};
+    HandleFailure("answer exceeds " + std::to_string(kMaxStoreAnswerBytes) +
+                  " bytes");
+    return;
+  }
   mBody.append(aBytes);
 }
 
--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -5,13 +5,45 @@
 import time
 
 
+SIGNED = b"Request-Id: ID\r\nResponse-Signature: sig.ID\r\n"
+UNSIGNED = b"Request-Id: ID\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+STREAM = b"HTTP/1.1 200 X\r\n" + SIGNED + b"Content-Type: text/event-stream\r\n" + CHUNKED
+CHUNK = b"4000\r\n" + b"a" * 0x4000 + b"\r\n"
+COMMENTS = b"4000\r\n" + b": a\n" * 0x1000 + b"\r\n"
+COMMENT_EVENTS = b"5000\r\n" + b": a\n\n" * 0x1000 + b"\r\n"
+
+# What an endless answer begins with, and what is sent again and again.
+ENDLESS = {
+    "endless-unsigned": (b"HTTP/1.1 200 X\r\n" + UNSIGNED + CHUNKED, CHUNK),
+    "endless-signed": (b"HTTP/1.1 200 X\r\n" + SIGNED + CHUNKED, CHUNK),
+    "endless-failed": (b"HTTP/1.1 500 X\r\n" + SIGNED + CHUNKED, CHUNK),
+    "endless-length": (
+        b"HTTP/1.1 200 X\r\n" + SIGNED + b"Content-Length: 99999999999\r\n\r\n",
+        b"a" * 0x4000,
+    ),
+    "endless-event": (STREAM, CHUNK),
+    "endless-comments": (STREAM, COMMENTS),
+    "endless-comment-events": (STREAM, COMMENT_EVENTS),
+    "endless-head": (b"HTTP/1.1 200 X\r\n", b"X-More: " + b"a" * 0x1000 + b"\r\n"),
+    "endless-interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 0x100),
+    "endless-others": (b"", b"HTTP/1.1 200 X\r\nRequest-Id: other\r\nContent-Length: 1\r\n\r\na"),
+    "endless-trailer": (
+        b"HTTP/1.1 200 X\r\n" + SIGNED + CHUNKED + b"1\r\na\r\n0\r\n",
+        b"X-More: " + b"a" * 0x1000 + b"\r\n",
+    ),
+    "endless-blank-lines": (b"", b"\r\n" * 0x1000),
+}
+
+
 class FakeReplica:
     """Serves HTTP over raw sockets, so that it can send invalid responses.
 
     Each response consumes one entry of the fault list: "truncated", "garbage",
     "extra" (first sends a late response to another request), "unsigned",
     "encoded", "full" (503, not run), "elsewhere" (421), "silent", "reset",
-    "unframed", "failed" (500), "cut-stream" (after two events).
+    "unframed", "failed" (500), "cut-stream" (after two events), and those of
+    ENDLESS, which send bytes until the node closes the connection.
     """
 
     def __init__(self, name, phase=None):
@@ -80,6 +112,9 @@
         if fault == "garbage":
             connection.sendall(b"\x00\x01 no answer\r\n\r\n")
             return False
+        if fault in ENDLESS:
+            self.send_without_end(connection, request_id, *ENDLESS[fault])
+            return False
         if fault == "full":
             connection.sendall(
                 encode_response(503, b"", request_id, signed=False, extra="Not-Executed: 1\r\n")
@@ -128,6 +163,14 @@
         connection.sendall(b"0\r\n\r\n")
         return True
 
+    def send_without_end(self, connection, request_id, head, piece):
+        try:
+            connection.sendall(head.replace(b"ID", request_id.encode()))
+            while True:
+                connection.sendall(piece)
+        except OSError:
+            self.closed_early.set()
+
     def wait_for_close(self, connection):
         connection.settimeout(20)
         try:
