A prompt that no replica can hold is refused at once

Change: the reserve is cut to what the largest replica has, so that a prompt that fits runs alone; a larger prompt is refused at arrival.

Tried with it and dropped: one replica in eight kept for the oldest request that needs more memory than any has free.

--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -99,6 +99,7 @@
   void RemoveQueued(const AttemptId& aAttempt);
   void Expire(Context& aContext);
   int PiecesNeeded(const PlaceRequest& aPlace) const;
+  bool IsTooLarge(const PlaceRequest& aPlace) const;
 
   ShardId mId;
   Limits mLimits;
@@ -110,6 +111,7 @@
   TimeModel mModel;
   PrefixHints mHints;
   Isolation mIsolation;
+  int mMostPieces = 0; ///< Of one decode server; 0 if not published.
   RetryPacer mRetryPacer;
   Instant mLastReleaseAt{};
   Duration mReleaseInterval = Milliseconds(50);
--- a/packages/core/src/scheduling/shard_scheduler.cpp
+++ b/packages/core/src/scheduling/shard_scheduler.cpp
@@ -50,6 +50,13 @@
     servers.push_back(std::move(state));
   }
   mServers = std::move(servers);
+  mMostPieces = 0;
+  for (const ServerStatePtr& state : mServers) {
+    const BackendServer& server = state->Server();
+    if (server.mRole == Role::kDecode && !server.mLeaving) {
+      mMostPieces = std::max(mMostPieces, server.mPieces);
+    }
+  }
   mPriorities.clear();
   for (const WorkClass& workClass : aContext.mConfiguration->mClasses) {
     mPriorities[workClass.mName] = workClass.mPriority;
@@ -120,12 +127,23 @@
   return hasPrefill && hasServer;
 }
 
+// A prompt that fits only without the reserve for its output runs alone.
 int
 ShardScheduler::PiecesNeeded(const PlaceRequest& aPlace) const
 {
-  return aPlace.mKind == RequestKind::kPlainCall
-           ? 0
-           : PiecesFor(mLimits, aPlace.mPromptTokens, aPlace.mMaxTokens);
+  if (aPlace.mKind == RequestKind::kPlainCall) {
+    return 0;
+  }
+  const int pieces =
+    PiecesFor(mLimits, aPlace.mPromptTokens, aPlace.mMaxTokens);
+  return mMostPieces > 0 ? std::min(pieces, mMostPieces) : pieces;
+}
+
+bool
+ShardScheduler::IsTooLarge(const PlaceRequest& aPlace) const
+{
+  return aPlace.mKind == RequestKind::kCompletion && mMostPieces > 0 &&
+         PiecesFor(mLimits, aPlace.mPromptTokens, 0) > mMostPieces;
 }
 
 bool
@@ -157,6 +175,15 @@
            "expected a backend server that may take this request, found none");
     return;
   }
+  if (IsTooLarge(aPlace)) {
+    Refuse(aContext,
+           aFrom,
+           aPlace.mAttempt,
+           ErrorCode::kQueueFull,
+           "expected a prompt of at most " + std::to_string(mMostPieces) +
+             " pieces of KV cache, found a larger one");
+    return;
+  }
   if (mQueue.Size() >= mLimits.mMaxQueued) {
     Refuse(aContext,
            aFrom,
