Requests that in-time ones overtake are refused at half of their time

Change: a request that is not in time and has seen four in-time placements since it came is refused once half of its time is over.

--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -82,6 +82,7 @@
   bool CanRefuseWithRetry(const WaitQueue::Key& aKey,
                           const QueuedRequest& aRequest) const;
   void RefuseWithRetry(Context& aContext, const WaitQueue::Key& aKey);
+  void RefuseOvertaken(Context& aContext);
   bool TryDemote(const WaitQueue::Key& aKey, const QueuedRequest& aRequest);
   void Promote(Instant aNow);
   void DispatchIsolated(Context& aContext);
@@ -113,6 +114,7 @@
   Isolation mIsolation;
   int mMostPieces = 0; ///< Of one decode server; 0 if not published.
   RetryPacer mRetryPacer;
+  std::uint64_t mInTimePlacements = 0;
   Instant mLastReleaseAt{};
   Duration mReleaseInterval = Milliseconds(50);
   Instant mLastExpiryAt{};
--- a/packages/core/include/heatherfork/detail/scheduling/wait_queue.h
+++ b/packages/core/include/heatherfork/detail/scheduling/wait_queue.h
@@ -25,6 +25,7 @@
   Instant mArrivedAt{};
   Instant mTargetAt{};    ///< When its first token is due.
   bool mIsUrgent = false; ///< Promoted after a long wait; not demoted again.
+  std::uint64_t mPlacedBefore = 0; ///< In-time placements before its arrival.
 };
 
 /// Orders requests by lane, class priority, weighted share of the workspace and
--- a/packages/core/src/scheduling/shard_dispatch.cpp
+++ b/packages/core/src/scheduling/shard_dispatch.cpp
@@ -7,6 +7,9 @@
 // The retry delay is at most 1/kRetryDelayDivisor of the time to the deadline.
 constexpr int kRetryDelayDivisor = 3;
 
+// In-time placements during the wait of a request that show overload.
+constexpr std::uint64_t kMinOvertaking = 4;
+
 } // namespace
 
 // Considers only the first requests of the queue, so that the cost per event
@@ -106,6 +109,29 @@
                                   wait });
 }
 
+// Under overload, what becomes free goes to requests that can be in time. One
+// that waits behind them is refused once half of its time is over, so that its
+// caller need not wait for the deadline. Without such placements the capacity
+// may only be away for a moment, and the request stays.
+void
+ShardScheduler::RefuseOvertaken(Context& aContext)
+{
+  std::vector<WaitQueue::Key> overtaken;
+  for (const auto& [key, request] : mQueue.All()) {
+    const PlaceRequest& place = request.mPlace;
+    const Duration left = place.mDeadline - aContext.mNow;
+    const Duration waited = aContext.mNow - request.mArrivedAt;
+    if (key.mLane != Lane::kInTime && place.mTarget > Duration{} &&
+        left <= waited &&
+        mInTimePlacements - request.mPlacedBefore >= kMinOvertaking) {
+      overtaken.push_back(key);
+    }
+  }
+  for (const WaitQueue::Key& key : overtaken) {
+    RefuseWithRetry(aContext, key);
+  }
+}
+
 // A late request of an interactive class stays ahead of all deferrable ones. A
 // late deferrable request yields to newer ones.
 bool
@@ -147,6 +173,7 @@
                        const Choice& aChoice)
 {
   QueuedRequest request = mQueue.Take(aKey);
+  mInTimePlacements += aKey.mLane == Lane::kInTime ? 1 : 0;
   const int pieces = PiecesNeeded(request.mPlace);
   Placement placement(request.mFrom,
                       std::move(request.mPlace),
--- a/packages/core/src/scheduling/shard_scheduler.cpp
+++ b/packages/core/src/scheduling/shard_scheduler.cpp
@@ -255,6 +255,7 @@
   QueuedRequest request{ aFrom, aPlace };
   request.mPriority = mPriorities[aPlace.mClass];
   request.mArrivedAt = aContext.mNow;
+  request.mPlacedBefore = mInTimePlacements;
   request.mTargetAt = std::min(aContext.mNow + target, aPlace.mDeadline);
   const auto weight = mWeights.find(aPlace.mWorkspace);
   const double share = weight == mWeights.end() ? 1 : weight->second;
@@ -364,6 +365,7 @@
     slow += slowness > settings.mStragglerThreshold ? 1 : 0;
   }
   mModel.SetAcceptAll(slow * 2 > mServers.size());
+  RefuseOvertaken(aContext);
   Dispatch(aContext);
 }
 
