One log line for the nodes that join, not one each

Change: members-joined names their number; every other change of a member keeps its line, with the node's name. Result: the lines of a start grow with the fleet, not with its square; unit and process tests pass.

--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -346,15 +346,27 @@
                  })) {
     return;
   }
+  // A line for each node that joins would be the square of the fleet's size in
+  // lines when all nodes start.
+  std::size_t joined = 0;
   for (const Member& member : members) {
     const Member* logged = FindMember(mLoggedMembers, member.mNode);
-    if (logged == nullptr || logged->mStatus != member.mStatus) {
+    if (logged == nullptr && member.mStatus == MemberStatus::kAlive) {
+      ++joined;
+    } else if (logged == nullptr || logged->mStatus != member.mStatus) {
       aContext.Emit(RelayLogEntry{ "member",
                                    "",
                                    "node=" + member.mNode.mName.mValue +
                                      " status=" + ToString(member.mStatus) });
     }
   }
+  if (joined > 0) {
+    aContext.Emit(
+      RelayLogEntry{ "members-joined",
+                     "",
+                     "joined=" + std::to_string(joined) +
+                       " known=" + std::to_string(members.size()) });
+  }
   mLoggedMembers = members;
   mRequests.UpdateSchedulers(aContext);
 }
