--- a/packages/relay/include/heatherfork/detail/relay/store_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -62,10 +63,11 @@
   const RelayWire& mWire;
   LineLog& mLog;
   Hooks mHooks;
-  bool mReadsForOthers = true;
+  std::optional<bool> mReadsForOthers; ///< Empty until the node has joined.
   Instant mNextChooseAt{};
   StoreReader mRouting;
   StoreReader mReplicas;
+  Instant mStartedAt;
   std::mt19937_64 mRandom;
 };
 
--- a/packages/relay/src/store_pacing.cpp
+++ b/packages/relay/src/store_pacing.cpp
@@ -11,7 +11,7 @@
 // Entries that expired during a store outage are written again within 2 s. A
 // node waits longer than that before it sends updates, so that its peers do not
 // drop entries that are only temporarily missing.
-constexpr Duration kSettleTime = Milliseconds(3000);
+constexpr Duration kSettleTime = Milliseconds(2500);
 
 } // namespace
 
--- a/packages/relay/src/store_watch.cpp
+++ b/packages/relay/src/store_watch.cpp
@@ -12,6 +12,10 @@
 // check.
 constexpr Duration kChooseReadersInterval = Milliseconds(100);
 
+// A node that starts knows no other, so it would take itself for a reader and
+// watch the store, as would all nodes of a fleet that starts.
+constexpr Duration kJoinTime = Milliseconds(1000);
+
 // Returns the pace that keeps the data younger than aMaxAge, also when a
 // connection goes silent: wait, timeout and pause together stay below aMaxAge.
 // Nodes that do not read for others get an update in each watch period. Without
@@ -74,6 +78,7 @@
           return mWire.ReadReplica(aOld.mKey, aOld.mValue, reason) !=
                  mWire.ReadReplica(aNew.mKey, aNew.mValue, reason);
         } })
+  , mStartedAt(SteadyNow())
   , mRandom(aSettings.mNode.mSeed)
 {
 }
@@ -152,8 +157,10 @@
     return;
   }
   mNextChooseAt = aNow + kChooseReadersInterval;
-  const bool readsForOthers = IsStoreReader(mHooks.mMembers(), mSelf);
-  if (readsForOthers != mReadsForOthers) {
+  const bool hasJoined = aNow - mStartedAt >= kJoinTime;
+  const bool readsForOthers =
+    hasJoined && IsStoreReader(mHooks.mMembers(), mSelf);
+  if (hasJoined && readsForOthers != mReadsForOthers) {
     mReadsForOthers = readsForOthers;
     mLog.Add(LogLevel::kInfo,
              "store-reader",
