--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -82,6 +82,7 @@
   bool CanRefuseWithRetry(const WaitQueue::Key& aKey,
                           const QueuedRequest& aRequest) const;
   void RefuseWithRetry(Context& aContext, const WaitQueue::Key& aKey);
+  void RefuseOvertaken(Context& aContext);
   bool TryDemote(const WaitQueue::Key& aKey, const QueuedRequest& aRequest);
   void Promote(Instant aNow);
   void DispatchIsolated(Context& aContext);
@@ -99,6 +100,7 @@
   void RemoveQueued(const AttemptId& aAttempt);
   void Expire(Context& aContext);
   int PiecesNeeded(const PlaceRequest& aPlace) const;
+  bool IsTooLarge(const PlaceRequest& aPlace) const;
 
   ShardId mId;
   Limits mLimits;
@@ -110,7 +112,9 @@
   TimeModel mModel;
   PrefixHints mHints;
   Isolation mIsolation;
+  int mMostPieces = 0; ///< Of one decode server; 0 if not published.
   RetryPacer mRetryPacer;
+  std::uint64_t mInTimePlacements = 0;
   Instant mLastReleaseAt{};
   Duration mReleaseInterval = Milliseconds(50);
   Instant mLastExpiryAt{};
--- a/packages/core/include/heatherfork/member.h
+++ b/packages/core/include/heatherfork/member.h
@@ -28,6 +28,7 @@
   std::uint32_t mEpoch = 0;      ///< Rises when the node refutes its own death.
   std::uint64_t mGeneration = 0; ///< Orders incarnations of one name.
   std::uint32_t mVersion = 0;    ///< Rises with each update by the node itself.
+  std::uint32_t mProcessorShare = 0; ///< Thousandths of a core; 0 if unknown.
 
   auto operator<=>(const Member&) const = default;
 };
@@ -39,7 +40,8 @@
 const char*
 ToString(MemberStatus aStatus);
 
-/// Finds a member by name and incarnation; null when unknown.
+/// Finds a member by name and incarnation; null when unknown. The members are
+/// ordered by name.
 const Member*
 FindMember(const Members& aMembers, const NodeId& aNode);
 
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -10,6 +10,7 @@
 #include "heatherfork/detail/relay/relay_requests.h"
 #include "heatherfork/detail/relay/replica_registry.h"
 #include "heatherfork/detail/scheduling/predictive_scheduler.h"
+#include "heatherfork/duty_members.h"
 
 namespace heatherfork {
 
@@ -27,6 +28,9 @@
 // off before the last sixth of the period count as cut too soon.
 constexpr int kGraceReserveDivisor = 10;
 
+// Callers ignore further addresses.
+constexpr std::size_t kMaxEntries = 64;
+
 } // namespace
 
 struct RelayReducer::State : public detail::MembershipListener
@@ -54,7 +58,7 @@
   void RebuildConfiguration(RelayContext& aContext);
   void LogMemberChanges(RelayContext& aContext);
   bool ShouldRefuseNew(Instant aNow) const;
-  std::size_t CountNodes() const;
+  std::size_t CountNodes();
 
   NodeSettings mSettings;
   RelaySettings mRelaySettings;
@@ -69,6 +73,9 @@
   detail::RelayRequests mRequests;
   std::vector<NodeId> mGoneNodes; ///< Detected during the current event.
   Members mLoggedMembers;
+  std::uint64_t mLoggedView = 0; ///< Of mLoggedMembers.
+  std::size_t mNodes = 1;        ///< At mCountedView.
+  std::uint64_t mCountedView = 0;
   bool mIsLeaving = false;
   bool mHasExited = false;
   Instant mLeavingSince{};
@@ -169,13 +176,18 @@
 }
 
 std::size_t
-RelayReducer::State::CountNodes() const
+RelayReducer::State::CountNodes()
 {
+  if (mCountedView == mMembership.ViewNumber()) {
+    return mNodes;
+  }
+  mCountedView = mMembership.ViewNumber();
   std::set<Address> addresses;
   for (const Member& member : mMembership.All()) {
     addresses.insert(member.mPeerAddress);
   }
-  return std::max<std::size_t>(addresses.size(), 1);
+  mNodes = std::max<std::size_t>(addresses.size(), 1);
+  return mNodes;
 }
 
 void
@@ -319,6 +331,10 @@
 void
 RelayReducer::State::LogMemberChanges(RelayContext& aContext)
 {
+  if (mLoggedView == mMembership.ViewNumber()) {
+    return;
+  }
+  mLoggedView = mMembership.ViewNumber();
   const Members& members = mMembership.All();
   if (members.size() == mLoggedMembers.size() &&
       std::equal(members.begin(),
@@ -330,15 +346,27 @@
                  })) {
     return;
   }
+  // A line for each node that joins would be the square of the fleet's size in
+  // lines when all nodes start.
+  std::size_t joined = 0;
   for (const Member& member : members) {
     const Member* logged = FindMember(mLoggedMembers, member.mNode);
-    if (logged == nullptr || logged->mStatus != member.mStatus) {
+    if (logged == nullptr && member.mStatus == MemberStatus::kAlive) {
+      ++joined;
+    } else if (logged == nullptr || logged->mStatus != member.mStatus) {
       aContext.Emit(RelayLogEntry{ "member",
                                    "",
                                    "node=" + member.mNode.mName.mValue +
                                      " status=" + ToString(member.mStatus) });
     }
   }
+  if (joined > 0) {
+    aContext.Emit(
+      RelayLogEntry{ "members-joined",
+                     "",
+                     "joined=" + std::to_string(joined) +
+                       " known=" + std::to_string(members.size()) });
+  }
   mLoggedMembers = members;
   mRequests.UpdateSchedulers(aContext);
 }
@@ -371,7 +399,7 @@
   Context context{ mState->mSettings,      aEvent.mAt,
                    mState->mConfiguration, mState->mMembership.All(),
                    mState->mRandom,        shared,
-                   mState->mLocalMessages };
+                   mState->mLocalMessages, mState->mMembership.ViewNumber() };
   RelayContext relayContext{ context,
                              mState->mRelaySettings,
                              mState->mReplicas,
@@ -406,18 +434,15 @@
 }
 
 std::vector<Address>
-RelayReducer::EntriesFor(const ZoneName& /*aZone*/) const
+RelayReducer::Entries() const
 {
-  std::set<Address> entries;
-  for (const Member& member : mState->mMembership.All()) {
-    const bool isSelf = member.mNode == mState->mSettings.mSelf;
-    const bool serves =
-      isSelf ? View().IsReady() : member.mStatus == MemberStatus::kAlive;
-    if (serves && !member.mCallerAddress.Empty()) {
-      entries.insert(member.mCallerAddress);
-    }
+  Members members = mState->mMembership.All();
+  if (!View().IsReady()) {
+    std::erase_if(members, [&](const Member& aMember) {
+      return aMember.mNode == mState->mSettings.mSelf;
+    });
   }
-  return { entries.begin(), entries.end() };
+  return EntryAddresses(members, kMaxEntries);
 }
 
 } // namespace heatherfork
