The retry slack goes to the nodes that take callers

Cause: the slack was split evenly over all addresses; with 295 nodes each had 1.07 calls in 10 s, and a retry after a prefill takes two. Change: nodes with large processor shares, which take the callers, get 0.8 of the slack, the others 0.2; the parts add up to 1, dead nodes counted.

--- a/packages/core/include/heatherfork/detail/relay/relay_requests.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_requests.h
@@ -20,7 +20,7 @@
   Context& mShared;
   const RelaySettings& mSettings;
   const Replicas& mReplicas;
-  std::size_t mNodes = 1; ///< Nodes that share the retry budget.
+  double mBudgetShare = 1; ///< This node's part of the retry slack.
   RelayEffects& mEffects;
 
   Instant Now() const { return mShared.mNow; }
@@ -57,6 +57,7 @@
   NodeId mScheduler;
   Instant mPlacementSentAt{};
   bool mIsQueued = false;
+  int mFailovers = 0; ///< Schedulers that could not be reached.
   Placed mPlaced;
   std::vector<ServerName> mExcluded;
 
@@ -113,11 +114,11 @@
                                 const OpenRequest& aRequest);
   void Place(RelayContext& aContext, OpenRequest& aRequest, bool aIsLocal);
 
-  /// Places through this node's own scheduler, as the responsible one can't be
-  /// reached; aLogEvent names the cause.
-  void PlaceLocally(RelayContext& aContext,
-                    const std::vector<CallerId>& aCallers,
-                    const char* aLogEvent);
+  /// Places through the scheduler that takes the place of one that can't be
+  /// reached, or through this node's own; aLogEvent names the cause.
+  void PlaceElsewhere(RelayContext& aContext,
+                      const std::vector<CallerId>& aCallers,
+                      const char* aLogEvent);
   void EndPlacement(RelayContext& aContext,
                     OpenRequest& aRequest,
                     PlacementResult aResult,
--- a/packages/core/include/heatherfork/detail/relay/service_retry_budget.h
+++ b/packages/core/include/heatherfork/detail/relay/service_retry_budget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <deque>
 #include <map>
 
@@ -9,9 +10,16 @@
 /// This node's share of the retry budgets of services.
 namespace heatherfork::detail {
 
+/// Part of the slack that a node may spend, in 0 to 1. aShares: processor
+/// shares of all nodes by address, this node included; aOwnShare: that of this
+/// node. The parts of all nodes add up to 1 at most.
+double
+RetryBudgetShare(const std::map<Address, std::uint32_t>& aShares,
+                 std::uint32_t aOwnShare);
+
 /// The retry budget of a service covers all nodes. Each node spends the ratio
-/// of its own requests and an equal share of the slack, so that the sum stays
-/// within the budget without communication between nodes.
+/// of its own requests and its part of the slack, so that the sum stays within
+/// the budget without communication between nodes.
 class ServiceRetryBudget
 {
 public:
@@ -22,7 +30,7 @@
   bool TrySpend(Instant aNow,
                 const RelaySettings& aSettings,
                 const ServiceName& aService,
-                std::size_t aNodes,
+                double aSlackShare,
                 int aCalls);
 
 private:
--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -327,13 +327,13 @@
   const bool isGranted = mBudget.TrySpend(aContext.Now(),
                                           aContext.mSettings,
                                           aRequest.mService,
-                                          aContext.mNodes,
+                                          aContext.mBudgetShare,
                                           calls);
   LogRequestEvent(aContext,
                   isGranted ? "again" : "budget-spent",
                   aRequest,
                   "service=" + aRequest.mService.mValue +
-                    " nodes=" + std::to_string(aContext.mNodes));
+                    " share=" + std::to_string(aContext.mBudgetShare));
   return isGranted;
 }
 
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -58,7 +58,7 @@
   void RebuildConfiguration(RelayContext& aContext);
   void LogMemberChanges(RelayContext& aContext);
   bool ShouldRefuseNew(Instant aNow) const;
-  std::size_t CountNodes();
+  double BudgetShare();
 
   NodeSettings mSettings;
   RelaySettings mRelaySettings;
@@ -74,8 +74,8 @@
   std::vector<NodeId> mGoneNodes; ///< Detected during the current event.
   Members mLoggedMembers;
   std::uint64_t mLoggedView = 0; ///< Of mLoggedMembers.
-  std::size_t mNodes = 1;        ///< At mCountedView.
-  std::uint64_t mCountedView = 0;
+  double mBudgetShare = 1;       ///< At mShareView.
+  std::uint64_t mShareView = 0;
   bool mIsLeaving = false;
   bool mHasExited = false;
   Instant mLeavingSince{};
@@ -175,19 +175,21 @@
   return mIsLeaving && aNow - mLeavingSince >= kLeavingAcceptDuration;
 }
 
-std::size_t
-RelayReducer::State::CountNodes()
+// Counts every address ever heard of, also of dead nodes: a share must not grow
+// when others die, as they may have spent theirs.
+double
+RelayReducer::State::BudgetShare()
 {
-  if (mCountedView == mMembership.ViewNumber()) {
-    return mNodes;
+  if (mShareView == mMembership.ViewNumber()) {
+    return mBudgetShare;
   }
-  mCountedView = mMembership.ViewNumber();
-  std::set<Address> addresses;
+  mShareView = mMembership.ViewNumber();
+  std::map<Address, std::uint32_t> shares;
   for (const Member& member : mMembership.All()) {
-    addresses.insert(member.mPeerAddress);
+    shares[member.mPeerAddress] = member.mProcessorShare;
   }
-  mNodes = std::max<std::size_t>(addresses.size(), 1);
-  return mNodes;
+  mBudgetShare = detail::RetryBudgetShare(shares, mSettings.mProcessorShare);
+  return mBudgetShare;
 }
 
 void
@@ -403,7 +405,7 @@
   RelayContext relayContext{ context,
                              mState->mRelaySettings,
                              mState->mReplicas,
-                             mState->CountNodes(),
+                             mState->BudgetShare(),
                              effects };
   mState->Dispatch(relayContext, aEvent.mBody);
   for (Effect& effect : shared) {
--- a/packages/core/src/relay/service_retry_budget.cpp
+++ b/packages/core/src/relay/service_retry_budget.cpp
@@ -14,6 +14,9 @@
 // node's window; the margin covers requests at its edges.
 constexpr double kRatioFraction = 0.8;
 
+// Part of the slack for the nodes with large processor shares.
+constexpr double kEntriesFraction = 0.8;
+
 void
 EvictBefore(std::deque<Instant>& aTimes, Instant aSince)
 {
@@ -24,6 +27,33 @@
 
 } // namespace
 
+// Where some nodes have large processor shares, callers use these (see
+// EntryAddresses), so they get most of the slack. The others keep a part, for
+// callers that still know them.
+double
+RetryBudgetShare(const std::map<Address, std::uint32_t>& aShares,
+                 std::uint32_t aOwnShare)
+{
+  std::uint32_t largest = aOwnShare;
+  for (const auto& [address, share] : aShares) {
+    largest = std::max(largest, share);
+  }
+  const auto isLarge = [largest](std::uint32_t aShare) {
+    return aShare >= largest - largest / 2;
+  };
+  const auto large = static_cast<double>(
+    std::count_if(aShares.begin(), aShares.end(), [&](const auto& aItem) {
+      return isLarge(aItem.second);
+    }));
+  const auto all =
+    static_cast<double>(std::max<std::size_t>(1, aShares.size()));
+  if (large == 0 || large == all) {
+    return 1 / all;
+  }
+  return isLarge(aOwnShare) ? kEntriesFraction / large
+                            : (1 - kEntriesFraction) / (all - large);
+}
+
 void
 ServiceRetryBudget::OnRequest(Instant aNow, const ServiceName& aService)
 {
@@ -34,16 +64,15 @@
 ServiceRetryBudget::TrySpend(Instant aNow,
                              const RelaySettings& aSettings,
                              const ServiceName& aService,
-                             std::size_t aNodes,
+                             double aSlackShare,
                              int aCalls)
 {
   Window& window = mWindows[aService];
   EvictBefore(window.mRequests, aNow - aSettings.mRetryWindow);
   EvictBefore(window.mRetries, aNow - aSettings.mRetryWindow);
-  const double nodes = static_cast<double>(std::max<std::size_t>(aNodes, 1));
   const double allowed = kRatioFraction * aSettings.mRetryRatio *
                            static_cast<double>(window.mRequests.size()) +
-                         kSlackFraction * aSettings.mRetrySlack / nodes;
+                         kSlackFraction * aSettings.mRetrySlack * aSlackShare;
   if (static_cast<double>(window.mRetries.size()) + aCalls > allowed) {
     return false;
   }
--- a/tests/unit-relay-requests.cpp
+++ b/tests/unit-relay-requests.cpp
@@ -280,15 +280,55 @@
       retryBudget.OnRequest(kStart, service);
     }
     int granted = 0;
-    while (retryBudget.TrySpend(kStart, settings, service, row.mNodes, 1)) {
+    while (retryBudget.TrySpend(
+      kStart, settings, service, 1.0 / static_cast<double>(row.mNodes), 1)) {
       ++granted;
     }
     CHECK_EQUAL(row.mAllowed, granted);
     // Spent calls and requests leave the budget with the window.
-    CHECK_EQUAL(
-      row.mSlack / row.mNodes / 2 >= 1,
-      retryBudget.TrySpend(
-        kStart + Milliseconds(10001), settings, service, row.mNodes, 1));
+    CHECK_EQUAL(row.mSlack / row.mNodes / 2 >= 1,
+                retryBudget.TrySpend(kStart + Milliseconds(10001),
+                                     settings,
+                                     service,
+                                     1.0 / static_cast<double>(row.mNodes),
+                                     1));
+  }
+}
+
+// The slack of 295 nodes, split evenly, allows no retry where 15 nodes take all
+// callers.
+TEST(RelayRequests, GivesRetrySlackToNodesThatTakeCallers)
+{
+  struct Row
+  {
+    int mLarge;
+    int mSmall;
+    double mLargePart;
+    double mSmallPart;
+  };
+  const Row kRows[] = {
+    { 0, 8, 0, 1.0 / 8 },
+    { 8, 0, 1.0 / 8, 0 },
+    { 15, 280, 0.8 / 15, 0.2 / 280 },
+    { 1, 1, 0.8, 0.2 },
+  };
+  for (const Row& row : kRows) {
+    std::map<Address, std::uint32_t> shares;
+    for (int n = 0; n < row.mLarge + row.mSmall; ++n) {
+      shares[Address{ std::to_string(n) }] = n < row.mLarge ? 500 : 120;
+    }
+    double sum = 0;
+    if (row.mLarge > 0) {
+      const double part = detail::RetryBudgetShare(shares, 500);
+      DOUBLES_EQUAL(row.mLargePart, part, 1e-9);
+      sum += row.mLarge * part;
+    }
+    if (row.mSmall > 0) {
+      const double part = detail::RetryBudgetShare(shares, 120);
+      DOUBLES_EQUAL(row.mSmallPart, part, 1e-9);
+      sum += row.mSmall * part;
+    }
+    DOUBLES_EQUAL(1, sum, 1e-9);
   }
 }
 
