A scheduler that can't be reached is passed over by all nodes alike

Change: the node passes over such a scheduler for 3 s and asks the next one by the same weights, which is told what runs; only then it places by itself.

--- a/packages/core/include/heatherfork/detail/scheduling/shard_chooser.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_chooser.h
@@ -29,6 +29,10 @@
                             PlaceRequest& aPlace,
                             const ServerName& aServer);
 
+  /// Passes over a node that can't be reached, until a time. All nodes that
+  /// pass over it choose the same one in its place.
+  void Avoid(const NodeId& aNode, Instant aUntil);
+
   /// Records the delay in a reply. Must be called for every reply of a
   /// scheduler.
   void On(Context& aContext, const Placed& aPlaced);
@@ -43,6 +47,7 @@
   };
 
   void Update(const Context& aContext);
+  Members ReachableMembers(const Context& aContext);
   NodeId SchedulerOf(const Context& aContext, const Shard& aShard);
   Duration CostOf(const Context& aContext, const Shard& aShard) const;
   const Shard* Choose(Context& aContext,
@@ -52,6 +57,7 @@
   std::map<ShardId, ReportedDelay> mReportedDelays;
   std::map<ShardId, NodeId> mSchedulers; ///< At mMembersNumber.
   std::uint64_t mMembersNumber = 0;
+  std::map<NodeId, Instant> mAvoidedUntil;
 };
 
 } // namespace heatherfork::detail
--- a/packages/core/src/relay/relay_places.cpp
+++ b/packages/core/src/relay/relay_places.cpp
@@ -15,6 +15,14 @@
 constexpr int kStartTimeoutTargets = 4;
 constexpr int kStartTimeoutGaps = 8;
 
+// How long a scheduler that can't be reached is passed over; membership needs
+// about as long to find out that it is gone.
+constexpr Duration kAvoidTime = Milliseconds(3000);
+
+// Schedulers tried for a request in place of one that can't be reached. After
+// them this node places it by what it knows itself.
+constexpr int kMaxFailovers = 1;
+
 // A caller waits for at most a third of its remaining time after a refusal.
 constexpr int kRetryAfterDivisor = 3;
 
@@ -198,13 +206,17 @@
   if (isReachable) {
     SendHeldPlacements(aContext, aNode);
   }
-  PlaceLocally(aContext, unplaced, "scheduler-unreachable");
+  if (!isReachable) {
+    mShards.Avoid(aNode, aContext.Now() + kAvoidTime);
+    PlaceElsewhere(aContext, unplaced, "scheduler-unreachable");
+    UpdateSchedulers(aContext);
+  }
 }
 
 void
-RelayRequests::PlaceLocally(RelayContext& aContext,
-                            const std::vector<CallerId>& aCallers,
-                            const char* aLogEvent)
+RelayRequests::PlaceElsewhere(RelayContext& aContext,
+                              const std::vector<CallerId>& aCallers,
+                              const char* aLogEvent)
 {
   for (const CallerId caller : aCallers) {
     if (OpenRequest* request = Find(caller)) {
@@ -212,7 +224,7 @@
                       aLogEvent,
                       *request,
                       "node=" + request->mScheduler.mName.mValue);
-      Place(aContext, *request, true);
+      Place(aContext, *request, ++request->mFailovers > kMaxFailovers);
     }
   }
 }
@@ -329,7 +341,7 @@
       request.mScheduler = NodeId{};
     }
   }
-  PlaceLocally(aContext, unplaced, "scheduler-lost");
+  PlaceElsewhere(aContext, unplaced, "scheduler-lost");
 }
 
 } // namespace heatherfork::detail
--- a/packages/core/src/scheduling/shard_chooser.cpp
+++ b/packages/core/src/scheduling/shard_chooser.cpp
@@ -50,20 +50,41 @@
   return shard == nullptr ? NodeId{} : SchedulerOf(aContext, *shard);
 }
 
+void
+ShardChooser::Avoid(const NodeId& aNode, Instant aUntil)
+{
+  mAvoidedUntil[aNode] = aUntil;
+  mSchedulers.clear();
+}
+
+Members
+ShardChooser::ReachableMembers(const Context& aContext)
+{
+  Members members = aContext.mMembers;
+  std::erase_if(members, [&](const Member& aMember) {
+    return mAvoidedUntil.contains(aMember.mNode);
+  });
+  return members;
+}
+
 // The choice hashes the name of every member, so it is kept until they change.
 NodeId
 ShardChooser::SchedulerOf(const Context& aContext, const Shard& aShard)
 {
-  if (aContext.mMembersNumber == 0) {
-    return detail::SchedulerOf(aShard, aContext.mMembers);
-  }
-  if (mMembersNumber != aContext.mMembersNumber) {
+  const std::size_t expired =
+    std::erase_if(mAvoidedUntil, [&](const auto& aItem) {
+      return aItem.second <= aContext.mNow;
+    });
+  const bool isTracked = aContext.mMembersNumber != 0;
+  if (!isTracked || expired > 0 || mMembersNumber != aContext.mMembersNumber) {
     mMembersNumber = aContext.mMembersNumber;
     mSchedulers.clear();
   }
   const auto [it, isNew] = mSchedulers.try_emplace(aShard.mId);
   if (isNew) {
-    it->second = detail::SchedulerOf(aShard, aContext.mMembers);
+    it->second = mAvoidedUntil.empty()
+                   ? detail::SchedulerOf(aShard, aContext.mMembers)
+                   : detail::SchedulerOf(aShard, ReachableMembers(aContext));
   }
   return it->second;
 }
