--- a/packages/relay/include/heatherfork/detail/relay/answer_limits.h
+++ b/packages/relay/include/heatherfork/detail/relay/answer_limits.h
@@ -42,6 +42,6 @@
 
 /// Bytes of one answer of the store: a page of its items, or a watch answer
 /// with several values of the largest size.
-inline constexpr std::size_t kMaxStoreAnswerBytes = std::size_t{ 16 } << 20;
+inline constexpr std::size_t kMaxStoreAnswerBytes = std::size_t{ 8 } << 20;
 
 } // namespace heatherfork::relay
--- a/packages/relay/include/heatherfork/detail/relay/io_loop.h
+++ b/packages/relay/include/heatherfork/detail/relay/io_loop.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <mutex>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -46,11 +47,17 @@
   /// Waits at most aLimit for events, then calls handlers and posted functions.
   void Wait(Duration aLimit);
 
+  /// Sets what is called with the reason when a handler or a posted function
+  /// throws. The descriptor of the handler is removed; the loop goes on.
+  void SetErrorHandler(std::function<void(const std::string&)> aHandler);
+
   /// Runs a function on the loop's thread. Thread-safe.
   void Post(std::function<void()> aFunction);
 
 private:
   void RunPosted();
+  template<class Function>
+  bool Guard(const Function& aFunction);
 
   struct Entry
   {
@@ -63,6 +70,7 @@
   int mWakeDescriptor = -1;
   std::uint32_t mLastGeneration = 0;
   std::unordered_map<int, Entry> mEntries;
+  std::function<void(const std::string&)> mErrorHandler;
   std::mutex mMutex;
   std::vector<std::function<void()>> mPosted;
 };
--- a/packages/relay/src/io_loop.cpp
+++ b/packages/relay/src/io_loop.cpp
@@ -4,6 +4,8 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdlib>
+#include <exception>
+#include <utility>
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -59,6 +61,28 @@
   close(mEpollDescriptor);
 }
 
+void
+IoLoop::SetErrorHandler(std::function<void(const std::string&)> aHandler)
+{
+  mErrorHandler = std::move(aHandler);
+}
+
+// One bad message must not end the process and with it every other request.
+template<class Function>
+bool
+IoLoop::Guard(const Function& aFunction)
+{
+  try {
+    aFunction();
+    return true;
+  } catch (const std::exception& e) {
+    if (mErrorHandler) {
+      mErrorHandler(e.what());
+    }
+    return false;
+  }
+}
+
 void
 IoLoop::Set(int aDescriptor, IoInterest aInterest, IoHandler& aHandler)
 {
@@ -109,9 +133,15 @@
     if (it == mEntries.end() || it->second.mGeneration != generation) {
       continue; // A handler called earlier in this loop removed it.
     }
-    it->second.mHandler->OnIo((event.events & EPOLLIN) != 0,
-                              (event.events & EPOLLOUT) != 0,
-                              (event.events & (EPOLLERR | EPOLLHUP)) != 0);
+    IoHandler& handler = *it->second.mHandler;
+    const bool hasReturned = Guard([&] {
+      handler.OnIo((event.events & EPOLLIN) != 0,
+                   (event.events & EPOLLOUT) != 0,
+                   (event.events & (EPOLLERR | EPOLLHUP)) != 0);
+    });
+    if (!hasReturned) {
+      Remove(descriptor);
+    }
   }
   RunPosted();
 }
@@ -138,7 +168,7 @@
     posted.swap(mPosted);
   }
   for (const auto& function : posted) {
-    function();
+    Guard(function);
   }
 }
 
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -95,6 +95,10 @@
 absl::Status
 RelayNode::State::Start()
 {
+  mLoop.SetErrorHandler([this](const std::string& aReason) {
+    mLog.Add(
+      LogLevel::kWarning, "handler-failed", "", "reason=\"" + aReason + "\"");
+  });
   absl::Status status = mCallerPort.Start(mSettings.mCallerListen);
   for (const Address& address : mSettings.mInfoListen) {
     mInfoPorts.push_back(std::make_unique<CallerPort>(mLoop, *this));
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -52,6 +52,27 @@
   }
 }
 
+// Counts that no int holds must not wrap to small or negative ones, which would
+// pass every check of size.
+TEST(Platform, BoundsTokenCounts)
+{
+  constexpr int kMost = 100000000;
+  const auto read =
+    kWire.ReadRequest(Head({ kHost,
+                             kId,
+                             { "Token-Usage", "4294967297,999999999999999" },
+                             { "Length-Hint", "2147483648" },
+                             { "Prompt-Prefix", "a:4294967299" } }),
+                      "");
+  const auto* request = std::get_if<RelayRequest>(&read);
+  CHECK(request != nullptr);
+  CHECK_EQUAL(kMost, request->mPromptTokens);
+  CHECK_EQUAL(kMost, request->mMaxTokens);
+  CHECK_EQUAL(kMost, request->mExpectedTokens);
+  CHECK_EQUAL(1U, request->mParts.size());
+  CHECK_EQUAL(kMost, request->mParts[0].mTokens);
+}
+
 TEST(Platform, WritesCallWithCallerAndOwnFieldsOnly)
 {
   StartCall call;
