--- a/packages/core/src/duty_members.cpp
+++ b/packages/core/src/duty_members.cpp
@@ -73,6 +73,7 @@
     entries.resize(std::min(entries.size(), aMaxEntries));
   }
   std::vector<Address> addresses;
+  addresses.reserve(entries.size());
   for (const Member* entry : entries) {
     addresses.push_back(entry->mCallerAddress);
   }
--- a/tests/unit-relay-scale.cpp
+++ b/tests/unit-relay-scale.cpp
@@ -33,6 +33,7 @@
 NodeNames(int aCount)
 {
   std::vector<std::string> names;
+  names.reserve(static_cast<std::size_t>(aCount));
   for (int n = 0; n < aCount; ++n) {
     names.push_back("n-" + std::to_string(n));
   }
