Events before bytes that are no events are sent

Cause, by reading: a read that ended with events and with too many other bytes dropped the events, though they counted as sent; a resume would have skipped them. With reads of 16 KiB and limits of 64 and 256 KiB it can't happen today. Change: they are sent, then the call ends.

--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -167,9 +167,6 @@
   while (auto event = mEvents.TakeNext()) {
     if (!event->mHasFields) {
       mComments += event->mBytes;
-      if (mComments.size() > kMaxCommentBytes) {
-        return false;
-      }
       continue;
     }
     out += EncodeChunk(mComments + event->mBytes);
@@ -180,11 +177,11 @@
       mLastEvent = event->mId;
     }
   }
-  if (mEvents.IsEventTooLarge()) {
-    return false;
-  }
+  // Events before the other bytes count as sent, so they are sent.
+  const bool hasOnlyEvents =
+    !mEvents.IsEventTooLarge() && mComments.size() <= kMaxCommentBytes;
   if (out.empty()) {
-    return true;
+    return hasOnlyEvents;
   }
   if (!mHasSentHead) {
     SendHead(std::nullopt);
@@ -193,7 +190,7 @@
   if (isFirst) {
     mContext.mPost(RelayStreamStarted{ mCall->mCall });
   }
-  return true;
+  return hasOnlyEvents;
 }
 
 void
