--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -313,6 +313,12 @@
 void
 Exchange::ForwardResponse()
 {
+  if (mHasSentHead && !IsSuccess(mReply.mStatus)) {
+    // The run that resumed the stream failed: the answer must not look
+    // complete.
+    mConnection.Abort();
+    return;
+  }
   if (mHasSentHead) {
     if (!mComments.empty()) {
       mConnection.Send(EncodeChunk(mComments));
--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -127,6 +127,9 @@
             text = json.dumps({"KvHandle": "kv1", "Tokens": 10, "Version": 1}).encode()
             connection.sendall(encode_response(200, text, request_id, signed=False))
             return True
+        if self.phase and fault == "failed":
+            connection.sendall(encode_response(500, b"it failed", request_id))
+            return True
         if self.phase:
             return self.stream(connection, request_id, fields, fault)
         text = b"answer to " + request_id.encode()
--- a/tests/relay/test_relay.py
+++ b/tests/relay/test_relay.py
@@ -109,6 +109,31 @@
                 for number in range(1, 6 if expects_complete else 3):
                     self.assertEqual(1, body.count(b"id: %d\n" % number))
 
+    def test_failed_resume_does_not_look_complete(self):
+        self.platform.set_faults(self.platform.decode_replicas, "cut-stream")
+        cut = self.platform.decode_replicas
+        for replica in cut:
+            replica.faults = ["cut-stream", "failed"]
+        # Whichever replica comes first, the second one must fail.
+        real = [replica.answer for replica in cut]
+        calls = []
+
+        def answer(replica, original, connection, fields, body):
+            calls.append(replica)
+            replica.faults = ["cut-stream"] if len(calls) == 1 else ["failed"]
+            return original(connection, fields, body)
+
+        for replica, original in zip(cut, real):
+            replica.answer = lambda *args, r=replica, o=original: answer(r, o, *args)
+        request_id = self.next_request_id()
+        _, _, body, is_complete = self.node.send_request(
+            "/resumable/x", request_id, more="Token-Usage: 10,50\r\n"
+        )
+        for replica in cut:
+            del replica.answer
+        self.assertIn(b"id: 1\n", body)
+        self.assertFalse(is_complete)
+
     def test_caller_disconnect_cancels_call(self):
         shared = ["silent"]
         for replica in self.platform.plain_replicas:
