A silent replica's call must outlast the node's silence limit

Without retry budget, or without another replica, the caller's stream is cut while its replica goes on.

--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -9,6 +9,7 @@
 UNSIGNED = b"Request-Id: ID\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 STREAM = b"HTTP/1.1 200 X\r\n" + SIGNED + b"Content-Type: text/event-stream\r\n" + CHUNKED
+PAUSE_SECONDS = 2.5
 CHUNK = b"4000\r\n" + b"a" * 0x4000 + b"\r\n"
 COMMENTS = b"4000\r\n" + b": a\n" * 0x1000 + b"\r\n"
 COMMENT_EVENTS = b"5000\r\n" + b": a\n\n" * 0x1000 + b"\r\n"
@@ -42,8 +43,9 @@
     Each response consumes one entry of the fault list: "truncated", "garbage",
     "extra" (first sends a late response to another request), "unsigned",
     "encoded", "full" (503, not run), "elsewhere" (421), "silent", "reset",
-    "unframed", "failed" (500), "cut-stream" (after two events), and those of
-    ENDLESS, which send bytes until the node closes the connection.
+    "unframed", "failed" (500), "cut-stream" (after two events), "pause" (none
+    of the answer, or no event after the second one, for PAUSE_SECONDS), and
+    those of ENDLESS, which send bytes until the node closes the connection.
     """
 
     def __init__(self, name, phase=None):
@@ -123,6 +125,8 @@
         if fault == "elsewhere" or fields.get("Target-Instance") != self.name:
             connection.sendall(encode_response(421, b"", request_id, signed=False))
             return True
+        if fault == "pause" and self.phase != "decode":
+            time.sleep(PAUSE_SECONDS)
         if fields.get("Stage") == "prefill":
             text = json.dumps({"KvHandle": "kv1", "Tokens": 10, "Version": 1}).encode()
             connection.sendall(encode_response(200, text, request_id, signed=False))
@@ -156,6 +160,8 @@
             if fault == "cut-stream" and number == first + 2:
                 connection.sendall(b"20\r\nid: 9\nda")
                 return False
+            if fault == "pause" and number == first + 2:
+                time.sleep(PAUSE_SECONDS)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             try:
                 connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -72,7 +72,8 @@
 
 
 class Node:
-    def __init__(self, name, store, seed=None, leave_log_unread=False, metrics_port=None):
+    def __init__(self, name, store, seed=None, leave_log_unread=False, metrics_port=None,
+                 retry_slack=1000):
         self.caller_port, self.peer_port, self.info_port, self.metrics_port = pick_free_ports(4)
         self.metrics_port = metrics_port or self.metrics_port
         self.address = "127.0.0.1:%d" % self.peer_port
@@ -94,7 +95,7 @@
 [relay]
 store = "{store}"
 retry_budget_ratio = 0.2
-retry_budget_slack = 1000
+retry_budget_slack = {retry_slack}
 retry_window_s = 10
 grace_s = 8.0
 """
