A stream that has begun outlives its replica's silence

Cause: the successor's placement is no promise of its replica. Its decode replica was full (503), no attempt was left, and the call that had only been silent was already ended. Change: silence is reported before the first event alone; a stream that has begun ends with its connection. Keep-alive probes on every connection find one that went silent for good.

--- a/packages/core/include/heatherfork/relay_effect.h
+++ b/packages/core/include/heatherfork/relay_effect.h
@@ -29,7 +29,6 @@
   bool mIsStream = false;
   bool mNeedsNewConnection = false; ///< Opened for this call only.
   Duration mFirstByteLimit{}; ///< Silence to report before the answer; 0: none.
-  Duration mSilenceLimit{};   ///< Silence to report between events; 0: none.
   Address mKvHolder;          ///< Replica with the KV cache, for kDecode.
   std::string mCacheId;
   std::string mResumeAfter; ///< Id of an event; empty: from the start.
--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -10,10 +10,9 @@
 // retry budget of other requests.
 constexpr int kMaxCountedCalls = 3;
 
-// Silence of a replica, in multiples of the route's targets, after which a
-// request that may be retried is sent to another replica.
+// Silence of a replica before its answer, in multiples of the route's target,
+// after which another replica is sought for a request that may be retried.
 constexpr int kFirstByteLimitTargets = 2;
-constexpr int kSilenceLimitGaps = 4;
 
 std::string_view
 NameOf(RelayResult aResult)
@@ -116,9 +115,10 @@
   aRequest.mCallStartedAt = aContext.Now();
   aRequest.mPhase =
     aStage == RelayStage::kPrefill ? Phase::kPrefilling : Phase::kAnswering;
-  if (CanReplaceCall(aRequest)) {
+  // A successor may still refuse the request. That would cut a stream that has
+  // begun, so its call goes on until the connection fails.
+  if (CanReplaceCall(aRequest) && !aRequest.mHasSentEvents) {
     call.mFirstByteLimit = route.mTarget * kFirstByteLimitTargets;
-    call.mSilenceLimit = route.mGapTarget * kSilenceLimitGaps;
   }
   LogRequestEvent(aContext,
                   "sent",
--- a/packages/core/src/relay/relay_successor.cpp
+++ b/packages/core/src/relay/relay_successor.cpp
@@ -14,7 +14,8 @@
 RelayRequests::On(RelayContext& aContext, const RelayCallSilence& aEvent)
 {
   OpenRequest* request = FindByCall(aEvent.mCall);
-  if (request == nullptr || request->mPhase == Phase::kPlacing) {
+  if (request == nullptr || request->mPhase == Phase::kPlacing ||
+      request->mHasSentEvents) {
     return;
   }
   LogRequestEvent(aContext,
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -320,7 +320,7 @@
 Exchange::ReportSilence(Instant aNow)
 {
   const Duration limit =
-    mEventsInCall > 0 ? mCall->mSilenceLimit : mCall->mFirstByteLimit;
+    mEventsInCall > 0 ? Duration{} : mCall->mFirstByteLimit;
   const Instant since = mIsSilent ? mSilenceReportedAt : mLastReceivedAt;
   if (limit > Duration{} && aNow - since > limit) {
     mIsSilent = true;
--- a/packages/relay/src/sockets.cpp
+++ b/packages/relay/src/sockets.cpp
@@ -80,6 +80,12 @@
              TCP_USER_TIMEOUT,
              &kUserTimeoutMs,
              sizeof(kUserTimeoutMs));
+  // Finds a connection that has gone silent for good, as the user timeout only
+  // covers unacknowledged data.
+  setsockopt(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  for (const int option : { TCP_KEEPIDLE, TCP_KEEPINTVL, TCP_KEEPCNT }) {
+    setsockopt(aDescriptor, IPPROTO_TCP, option, &on, sizeof(on));
+  }
 }
 
 int
