An unframed stream that ends before its first event is cut

Cause: a stream with neither a length nor chunks that ended right after its head, or after a comment, counted as complete. After a cut the resumed run could end so, and the caller got a stream that looked whole without its last events.

Change: without framing, a stream needs an event before its end. Else the call is broken: resumed on a resumable route, 502 or visibly cut on another.

--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -72,6 +72,7 @@
   void ReportEnd(RelayResult aResult, std::string aReason = "");
   RelayResult ClassifyResult() const;
   bool IsForwardingEvents() const;
+  bool IsStreamCut() const;
   /// Returns false if the replica sends no events but other bytes.
   bool ForwardEvents();
   void SendHead(std::optional<std::size_t> aLength);
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -223,6 +223,15 @@
   mConnection.Send(head);
 }
 
+// Without a length or chunks, an end before the first event tells nothing: the
+// replica may have closed before it sent one.
+bool
+Exchange::IsStreamCut() const
+{
+  return IsForwardingEvents() && (mEvents.HasPartialEvent() ||
+                                  (!mReply.mIsFramed && mEventsInCall == 0));
+}
+
 RelayResult
 Exchange::ClassifyResult() const
 {
@@ -236,8 +245,7 @@
     if (mCall->mStage == RelayStage::kPrefill) {
       return RelayResult::kDone;
     }
-    const bool isComplete = !IsForwardingEvents() || !mEvents.HasPartialEvent();
-    return mFlags.mIsSigned && !mFlags.mIsEncoded && isComplete
+    return mFlags.mIsSigned && !mFlags.mIsEncoded && !IsStreamCut()
              ? RelayResult::kDone
              : RelayResult::kBroken;
   }
--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -44,8 +44,9 @@
     "extra" (first sends a late response to another request), "unsigned",
     "encoded", "full" (503, not run), "elsewhere" (421), "silent", "reset",
     "unframed", "failed" (500), "cut-stream" (after two events), "pause" (none
-    of the answer, or no event after the second one, for PAUSE_SECONDS), and
-    those of ENDLESS, which send bytes until the node closes the connection.
+    of the answer, or no event after the second one, for PAUSE_SECONDS), those
+    of ENDLESS, which send bytes until the node closes the connection, or a
+    function that answers in their place, such as one of unframed().
     """
 
     def __init__(self, name, phase=None):
@@ -103,13 +104,13 @@
     def answer(self, connection, fields, body):
         fault = self.faults.pop(0) if self.faults else ""
         request_id = fields["Request-Id"]
+        if callable(fault):
+            return fault(connection, fields)
         if fault == "silent":
             self.wait_for_close(connection)
             return False
         if fault == "reset":
-            connection.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
-            )
+            reset_on_close(connection)
             return False
         if fault == "garbage":
             connection.sendall(b"\x00\x01 no answer\r\n\r\n")
@@ -162,7 +163,7 @@
                 return False
             if fault == "pause" and number == first + 2:
                 time.sleep(PAUSE_SECONDS)
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            event = encode_event(number)
             try:
                 connection.sendall(b"%x\r\n%s\r\n" % (len(event), event))
             except OSError:
@@ -189,6 +190,14 @@
             self.closed_early.set()
 
 
+def reset_on_close(connection):
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+
+
+def encode_event(number):
+    return b"id: %d\ndata: piece %d\n\n" % (number, number)
+
+
 def encode_head(status, request_id, signed):
     text = "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n" % (status, request_id)
     if signed:
