An exception between nodes ends its connection, not the process

Cause: the thread of the connections between nodes called its handlers and the listener without a guard. One exception there, of a message, a loss, a timer or the poll, reached the end of the thread and ended the process.

Change: each call of a link is guarded. The link that threw closes and reports its loss; the listener gets the reason for a log line (peer-handler-failed). An exception of the listener at a loss is logged too. The other connections go on.

--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -58,6 +58,7 @@
 
   void OnMessage(const NodeId& aFrom, PeerMessage aMessage) override;
   void OnPeerLost(const NodeId& aPeer) override;
+  void OnFault(const std::string& aReason) override;
 
 private:
   void On(const AnswerCaller& aEffect);
@@ -267,6 +268,12 @@
   mLoop.Post(PeerLost{ aPeer });
 }
 
+void
+Node::State::OnFault(const std::string& aReason)
+{
+  spdlog::warn("event=peer-handler-failed reason=\"{}\"", aReason);
+}
+
 void
 Node::State::On(const ExitProcess&)
 {
--- a/packages/peer/include/heatherfork/peer_transport.h
+++ b/packages/peer/include/heatherfork/peer_transport.h
@@ -48,6 +48,9 @@
   /// broken connection, failed connection attempt with queued messages, and
   /// message that could not be queued.
   virtual void OnPeerLost(const NodeId& aPeer) = 0;
+
+  /// An exception ended one connection; the others go on. For the log.
+  virtual void OnFault(const std::string& /*aReason*/) {}
 };
 
 /// Counters since the start of the transport.
--- a/packages/peer/src/transport/incoming_link.cpp
+++ b/packages/peer/src/transport/incoming_link.cpp
@@ -159,6 +159,13 @@
                    : status);
 }
 
+void
+IncomingLink::OnFault(const std::string& aReason)
+{
+  mContext.ReportFault(aReason);
+  Fail(absl::InternalError(aReason));
+}
+
 void
 IncomingLink::Fail(const absl::Status& aReason)
 {
@@ -169,7 +176,7 @@
   }
   if (mIsGreeted && !mHasReceivedGoodbye) {
     ++mContext.mCounters.mConnectionsLost;
-    mContext.mListener.OnPeerLost(mPeerGreeting.mNode);
+    mContext.ReportLost(mPeerGreeting.mNode);
   }
 }
 
--- a/packages/peer/src/transport/incoming_link.h
+++ b/packages/peer/src/transport/incoming_link.h
@@ -31,6 +31,7 @@
   ~IncomingLink() override;
 
   void OnReady(int aMode) override;
+  void OnFault(const std::string& aReason) override;
   void OnTimer();
 
   /// Delivers what has been received, then closes. Called when the peer has
--- a/packages/peer/src/transport/link_context.h
+++ b/packages/peer/src/transport/link_context.h
@@ -23,8 +23,13 @@
   std::atomic<std::uint64_t> mMessagesDropped{ 0 };
 };
 
+/// What the links share. None of its functions throws.
 struct LinkContext
 {
+  /// Reports a loss, also when the listener throws.
+  void ReportLost(const NodeId& aPeer);
+  void ReportFault(const std::string& aReason);
+
   const PeerTransportSettings& mSettings;
   PeerListener& mListener;
   Poller mPoller;
--- a/packages/peer/src/transport/loop.cpp
+++ b/packages/peer/src/transport/loop.cpp
@@ -125,11 +125,29 @@
 PeerTransport::Loop::Run()
 {
   while (!mIsStopping) {
-    Wait();
-    ProcessSendRequests();
-    OnTimer();
+    Guard(*this, [this] { Wait(); });
+    Guard(*this, [this] { ProcessSendRequests(); });
+    Guard(*this, [this] { OnTimer(); });
+  }
+  Guard(*this, [this] { FlushAndClose(); });
+}
+
+template<class Function>
+void
+PeerTransport::Loop::Guard(detail::PollHandler& aHandler,
+                           const Function& aFunction)
+{
+  try {
+    aFunction();
+  } catch (const std::exception& e) {
+    aHandler.OnFault(e.what());
   }
-  FlushAndClose();
+}
+
+void
+PeerTransport::Loop::OnFault(const std::string& aReason)
+{
+  mContext.ReportFault(aReason);
 }
 
 void
@@ -157,7 +175,7 @@
     }
   }
   for (SendRequest& request : requests) {
-    Dispatch(std::move(request));
+    Guard(*this, [&] { Dispatch(std::move(request)); });
   }
 }
 
@@ -172,7 +190,7 @@
     kMaxPeerFrameBytes;
   if (address.Empty() || isTooLong) {
     ++mContext.mCounters.mMessagesDropped;
-    mContext.mListener.OnPeerLost(peer);
+    mContext.ReportLost(peer);
     return;
   }
   auto& link = mOutgoing[address];
@@ -180,7 +198,7 @@
     link =
       std::make_unique<OutgoingLink>(mContext, address, mContext.mRandom());
   }
-  link->Enqueue(std::move(aRequest.mMessage));
+  Guard(*link, [&] { link->Enqueue(std::move(aRequest.mMessage)); });
 }
 
 Address
@@ -204,10 +222,10 @@
   }
   mNextTimerAt = mContext.mNow + kMaxPollWait;
   for (const auto& [address, link] : mOutgoing) {
-    link->OnTimer();
+    Guard(*link, [&link = *link] { link.OnTimer(); });
   }
   for (const auto& link : mIncoming) {
-    link->OnTimer();
+    Guard(*link, [&link = *link] { link.OnTimer(); });
   }
   RemoveClosedLinks();
 }
@@ -278,7 +296,7 @@
     if (other.get() != &aLink && other->IsGreeted() &&
         other->PeerGreeting().mNode == aLink.PeerGreeting().mNode &&
         other->PeerGreeting().mLinkNumber == aLink.PeerGreeting().mLinkNumber) {
-      other->DrainAndClose();
+      Guard(*other, [&other = *other] { other.DrainAndClose(); });
     }
   }
 }
--- a/packages/peer/src/transport/loop.h
+++ b/packages/peer/src/transport/loop.h
@@ -42,6 +42,9 @@
   };
 
   void Run();
+  /// Calls aFunction; an exception ends aHandler's connection alone.
+  template<class Function>
+  static void Guard(detail::PollHandler& aHandler, const Function& aFunction);
   void Wait();
   void ProcessSendRequests();
   void Dispatch(SendRequest aRequest);
@@ -50,6 +53,7 @@
   void RemoveClosedLinks();
   void FlushAndClose();
   void OnReady(int aMode) override;
+  void OnFault(const std::string& aReason) override;
   void OnGreeting(detail::IncomingLink& aLink) override;
   std::size_t UnauthenticatedCount() const;
 
--- a/packages/peer/src/transport/outgoing_link.cpp
+++ b/packages/peer/src/transport/outgoing_link.cpp
@@ -278,10 +278,17 @@
 {
   ++mContext.mCounters.mMessagesDropped;
   if (aPeer.mIncarnation != 0) {
-    mContext.mListener.OnPeerLost(aPeer);
+    mContext.ReportLost(aPeer);
   }
 }
 
+void
+OutgoingLink::OnFault(const std::string& aReason)
+{
+  mContext.ReportFault(aReason);
+  Fail(absl::InternalError(aReason));
+}
+
 void
 OutgoingLink::Fail(const absl::Status& aReason)
 {
@@ -304,7 +311,7 @@
   BackOff();
   for (const NodeId& peer : lost) {
     if (peer.mIncarnation != 0) {
-      mContext.mListener.OnPeerLost(peer);
+      mContext.ReportLost(peer);
     }
   }
 }
--- a/packages/peer/src/transport/outgoing_link.h
+++ b/packages/peer/src/transport/outgoing_link.h
@@ -32,6 +32,7 @@
 
   void Enqueue(QueuedMessage aMessage);
   void OnReady(int aMode) override;
+  void OnFault(const std::string& aReason) override;
   void OnTimer();
 
   /// Sends a goodbye and closes if everything is written and no ping is
--- a/packages/peer/src/transport/poller.cpp
+++ b/packages/peer/src/transport/poller.cpp
@@ -1,6 +1,7 @@
 #include "poller.h"
 
 #include <array>
+#include <exception>
 
 #include <Poco/Exception.h>
 #include <Poco/Net/SocketAddress.h>
@@ -51,18 +52,34 @@
 {
   for (const auto& [socket, mode] : mReadySockets) {
     if (socket == mWakeReceiver) {
-      std::array<char, 64> buf{};
-      mWakeReceiver.receiveBytes(buf.data(), buf.size());
+      ReadWake();
       continue;
     }
     // An earlier handler of this round may have removed this socket.
     const auto it = mHandlers.find(socket);
-    if (it != mHandlers.end()) {
-      it->second->OnReady(mode);
+    if (it == mHandlers.end()) {
+      continue;
+    }
+    PollHandler& handler = *it->second;
+    try {
+      handler.OnReady(mode);
+    } catch (const std::exception& e) {
+      handler.OnFault(e.what());
     }
   }
 }
 
+void
+Poller::ReadWake()
+{
+  try {
+    std::array<char, 64> buf{};
+    mWakeReceiver.receiveBytes(buf.data(), buf.size());
+  } catch (const Poco::Exception&) {
+    // Nothing is left to read.
+  }
+}
+
 void
 Poller::Wake()
 {
--- a/packages/peer/src/transport/poller.h
+++ b/packages/peer/src/transport/poller.h
@@ -18,6 +18,8 @@
   virtual ~PollHandler() = default;
   /// aMode is a bit set of Poco::Net::PollSet::Mode.
   virtual void OnReady(int aMode) = 0;
+  /// An exception ended a call of this handler. Must not throw.
+  virtual void OnFault(const std::string& aReason) = 0;
 };
 
 /// A set of polled sockets with their handlers. Only Wake is thread-safe.
@@ -33,13 +35,16 @@
   /// Waits until a socket is ready, for at most aTimeout.
   void Wait(Duration aTimeout);
 
-  /// Calls the handlers of the sockets that Wait found ready.
+  /// Calls the handlers of the sockets that Wait found ready. One that throws
+  /// gets OnFault.
   void Dispatch();
 
   /// Ends the current Wait, or the next one if none is running.
   void Wake();
 
 private:
+  void ReadWake();
+
   Poco::Net::PollSet mPollSet;
   Poco::Net::DatagramSocket mWakeReceiver;
   Poco::Net::DatagramSocket mWakeSender;
--- a/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
@@ -44,6 +44,7 @@
 
   void OnMessage(const NodeId& aFrom, PeerMessage aMessage) override;
   void OnPeerLost(const NodeId& aPeer) override;
+  void OnFault(const std::string& aReason) override;
 
 private:
   void Run();
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -248,6 +248,17 @@
   mLoop.Post([this, aPeer] { Post(PeerLost{ aPeer }); });
 }
 
+void
+RelayNode::State::OnFault(const std::string& aReason)
+{
+  mLoop.Post([this, aReason] {
+    mLog.Add(LogLevel::kWarning,
+             "peer-handler-failed",
+             "",
+             "reason=\"" + aReason + "\"");
+  });
+}
+
 std::string
 RelayNode::State::MetricsText()
 {
