Tests: no one takes a node's port before the node listens

Cause, traced: pick_free_ports closed the ports it got from port 0, all in the range of outgoing connections. In a run beside load, node n2 of test_two_nodes_read_store_for_all ended at once with "Address already in use: 127.0.0.1:33085", and wait_ready waited its 30 s (30.4 s instead of 9.0 s).

Ruled out: 25 runs of relay-relay, partly beside three busy processes, and 57 of 58 runs of the one test passed; no log shows a node that reads the store for others in a wrong number.

Change: ports are below that range, and a name that the test process holds keeps a port from others. wait_ready fails at once, with the log, when its node ended.

After: 12 runs of the one test, 3 at a time, and 3 of relay-relay passed.

--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -1,5 +1,6 @@
 """Runs relaying nodes as processes against a simulated platform."""
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,13 +14,35 @@
 BUILD = Path(os.environ.get("HEATHERFORK_BUILD", Path(__file__).resolve().parents[2] / "build"))
 # Stops a failing test from waiting forever. No result depends on its value.
 WAIT_LIMIT_SECONDS = 30
+# Above the ports of the tests in e2e.
+FIRST_PORT = 30001
+RESERVED_NAMES = []
+
+
+def first_outgoing_port():
+    """Outgoing connections get this port or a higher one."""
+    return int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
 
 
 def pick_free_ports(count):
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Ports that no one else gets before a node listens on them.
+
+    Those from port 0 don't serve: once closed, any outgoing connection may get
+    them. A name among the abstract sockets keeps a port from other test
+    processes until this one ends.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, first_outgoing_port())
+        name = socket.socket(socket.AF_UNIX)
+        try:
+            name.bind("\0heatherfork-test-port-%d" % port)
+            socket.create_server(("127.0.0.1", port)).close()
+        except OSError:
+            name.close()
+            continue
+        RESERVED_NAMES.append(name)
+        ports.append(port)
     return ports
 
 
@@ -77,6 +100,7 @@
         self.caller_port, self.peer_port, self.info_port, self.metrics_port = pick_free_ports(4)
         self.metrics_port = metrics_port or self.metrics_port
         self.address = "127.0.0.1:%d" % self.peer_port
+        self.name = name
         self.folder = tempfile.TemporaryDirectory()
         self.log_path = Path(self.folder.name) / "log"
         settings = Path(self.folder.name) / "local.toml"
@@ -126,7 +150,8 @@
         return {line.rsplit(" ", 1)[0]: float(line.rsplit(" ", 1)[1]) for line in lines}
 
     def wait_ready(self):
-        wait_until(self.is_ready)
+        wait_until(lambda: self.process.poll() is not None or self.is_ready())
+        assert self.process.poll() is None, "node %s ended: %s" % (self.name, self.log())
 
     def call(self, port, raw, timeout=8):
         """Sends bytes and reads the response until it is complete or the connection ends."""
