A late copy of an answer can't pass for that of a request that comes again

Cause: answers are matched by the request's id alone. A caller's second request with the same id could get the kept connection of the first, and a second copy of the first answer, sent late by the replica, was taken for its own.

Change: a connection remembers the ids of its last 64 requests, as hashes, and is not used again for one of these; such a request gets another connection.

--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "heatherfork/detail/relay/http_message.h"
 #include "heatherfork/detail/relay/io_loop.h"
@@ -54,6 +55,11 @@
   /// Whether the connection can run another exchange.
   bool CanBeReused() const;
 
+  /// Whether a request with this id was sent here. A late copy of its response
+  /// would pass for the response to another one with the same id.
+  bool HasSent(const std::string& aRequestId) const;
+  void RecordSent(const std::string& aRequestId);
+
   /// How long the connection may stay idle before the other side closes it.
   Duration IdleTimeout() const { return mIdleTimeout; }
 
@@ -89,6 +95,7 @@
   bool mIsSkippingResponse = false;
   int mSkippedResponses = 0; ///< In this exchange.
   std::size_t mSkippedBytes = 0;
+  std::vector<std::size_t> mSentIds; ///< Hashes of the requests' ids.
   bool mIsHeadRequest = false;
   bool mHasPeerClosed = false;
   Duration mIdleTimeout;
@@ -109,9 +116,11 @@
   {
   }
 
-  /// Returns an idle connection to aAddress, or a new one if there is none or
-  /// aForceNew is set.
-  ServerConnectionPtr Acquire(const Address& aAddress, bool aForceNew);
+  /// Returns an idle connection to aAddress that has sent no request with this
+  /// id, or a new one if there is none or aForceNew is set.
+  ServerConnectionPtr Acquire(const Address& aAddress,
+                              bool aForceNew,
+                              const std::string& aRequestId);
 
   /// Puts a connection back after its exchange. Closes it if it can't be
   /// reused.
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -70,8 +70,8 @@
   mStartedAt = aNow;
   mLastReceivedAt = aNow;
   mIsSilent = false;
-  mServerConnection =
-    mContext.mPool.Acquire(aCall.mAddress, aCall.mNeedsNewConnection);
+  mServerConnection = mContext.mPool.Acquire(
+    aCall.mAddress, aCall.mNeedsNewConnection, mRequestId);
   mServerConnection->Begin(
     mContext.mWire.WriteCall(
       mHead, mRequestBody, aCall, aCall.mDeadline - aNow),
--- a/packages/relay/src/relay_node_calls.cpp
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -27,7 +27,7 @@
                  const Address& aAddress,
                  std::string aRequest)
     : mPool(aPool)
-    , mConnection(aPool.Acquire(aAddress, false))
+    , mConnection(aPool.Acquire(aAddress, false, ""))
   {
     mConnection->Begin(std::move(aRequest), false, *this);
   }
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "heatherfork/detail/relay/server_connection.h"
 
 #include <algorithm>
+#include <functional>
 
 #include <unistd.h>
 
@@ -22,6 +23,9 @@
 
 constexpr std::size_t kMaxIdleConnections = 256; // For all addresses together.
 
+// Request ids that a connection remembers.
+constexpr std::size_t kMaxSentIds = 64;
+
 // Reads of one connection per event of the loop, so that a replica that sends
 // without end does not hold up the others.
 constexpr int kMaxReadsPerEvent = 16;
@@ -123,6 +127,25 @@
          mIdleTimeout > Duration{};
 }
 
+bool
+ServerConnection::HasSent(const std::string& aRequestId) const
+{
+  const std::size_t id = std::hash<std::string>{}(aRequestId);
+  return std::find(mSentIds.begin(), mSentIds.end(), id) != mSentIds.end();
+}
+
+void
+ServerConnection::RecordSent(const std::string& aRequestId)
+{
+  if (aRequestId.empty()) {
+    return;
+  }
+  if (mSentIds.size() == kMaxSentIds) {
+    mSentIds.erase(mSentIds.begin());
+  }
+  mSentIds.push_back(std::hash<std::string>{}(aRequestId));
+}
+
 // The response is complete, so any further event ends the idle connection.
 void
 ServerConnection::WatchIdle(std::function<void(ServerConnection&)> aOnEnd)
@@ -308,21 +331,27 @@
 }
 
 ServerConnectionPtr
-ConnectionPool::Acquire(const Address& aAddress, bool aForceNew)
+ConnectionPool::Acquire(const Address& aAddress,
+                        bool aForceNew,
+                        const std::string& aRequestId)
 {
   if (!aForceNew) {
     // The most recently used connection is the least likely to be closed.
     const auto it = std::find_if(
       mIdle.rbegin(), mIdle.rend(), [&](const IdleConnection& aIdle) {
-        return aIdle.mConnection->RemoteAddress() == aAddress;
+        return aIdle.mConnection->RemoteAddress() == aAddress &&
+               !aIdle.mConnection->HasSent(aRequestId);
       });
     if (it != mIdle.rend()) {
       ServerConnectionPtr connection = std::move(it->mConnection);
       mIdle.erase(std::next(it).base());
+      connection->RecordSent(aRequestId);
       return connection;
     }
   }
-  return std::make_unique<ServerConnection>(mLoop, aAddress);
+  auto connection = std::make_unique<ServerConnection>(mLoop, aAddress);
+  connection->RecordSent(aRequestId);
+  return connection;
 }
 
 void
--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -85,7 +85,10 @@
         with connection:
             while True:
                 while b"\r\n\r\n" not in data:
-                    more = connection.recv(65536)
+                    try:
+                        more = connection.recv(65536)
+                    except ConnectionResetError:
+                        return
                     if not more:
                         return
                     data += more
