A reset that a write finds leaves an unframed answer incomplete

Cause: a write takes the socket's error, so the read after it found a plain end. An answer without a length or chunks, reset while its request was still being written, counted as complete.

Change: after a write that failed with anything but EPIPE (the other side had closed before), an end is a reset. A framed answer that is complete still counts.

--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -98,6 +98,7 @@
   std::vector<std::size_t> mSentIds; ///< Hashes of the requests' ids.
   bool mIsHeadRequest = false;
   bool mHasPeerClosed = false;
+  bool mIsReset = false; ///< Found by a write; a read finds only an end.
   Duration mIdleTimeout;
   ExchangeListener* mListener = nullptr;
   std::function<void(ServerConnection&)> mOnIdleEnd;
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -1,6 +1,7 @@
 #include "heatherfork/detail/relay/server_connection.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <functional>
 
 #include <unistd.h>
@@ -217,7 +218,9 @@
 {
   mMayHaveSent = true;
   if (WriteSome(mDescriptor, mOutput, mWrittenBytes) == IoResult::kFailed) {
-    // The other side may have answered before it stopped reading.
+    // The other side may have answered before it stopped reading. After its
+    // close, a write finds EPIPE.
+    mIsReset = errno != EPIPE;
     ReadAll();
     return;
   }
@@ -239,7 +242,7 @@
       }
       return;
     }
-    if (result == IoResult::kFailed) {
+    if (result == IoResult::kFailed || (result == IoResult::kEnd && mIsReset)) {
       Fail("connection reset");
       return;
     }
--- /dev/null
+++ b/tests/unit-server-connection.cpp
@@ -0,0 +1,136 @@
+#include "heatherfork/detail/relay/server_connection.h"
+
+#include <array>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace heatherfork;
+using namespace heatherfork::relay;
+
+namespace {
+
+const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+class Recorder final : public ExchangeListener
+{
+public:
+  bool OnHead(const HttpHead&) override { return true; }
+  void OnBody(std::string_view aBytes) override { mBody += aBytes; }
+  void OnDone() override { mIsDone = true; }
+  void OnFailed(const std::string&, bool) override { mHasFailed = true; }
+
+  std::string mBody;
+  bool mIsDone = false;
+  bool mHasFailed = false;
+};
+
+/// The other side of one connection.
+class Server
+{
+public:
+  Server()
+    : mListener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    CHECK_EQUAL(0, bind(mListener, generic, size));
+    CHECK_EQUAL(0, listen(mListener, 1));
+    CHECK_EQUAL(0, getsockname(mListener, generic, &size));
+    mAddress =
+      Address{ "127.0.0.1:" + std::to_string(ntohs(address.sin_port)) };
+  }
+  ~Server() { close(mListener); }
+
+  void Accept() { mPeer = accept(mListener, nullptr, nullptr); }
+  void ReadRequest() const
+  {
+    std::array<char, 1000> bytes{};
+    CHECK(recv(mPeer, bytes.data(), bytes.size(), 0) > 0);
+  }
+  void Send(const std::string& aBytes) const
+  {
+    CHECK_EQUAL(static_cast<ssize_t>(aBytes.size()),
+                send(mPeer, aBytes.data(), aBytes.size(), MSG_NOSIGNAL));
+  }
+  void Close(bool aIsReset) const
+  {
+    const linger now{ aIsReset ? 1 : 0, 0 };
+    setsockopt(mPeer, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+    close(mPeer);
+  }
+
+  Address mAddress;
+
+private:
+  int mListener;
+  int mPeer = -1;
+};
+
+void
+RunUntilEnd(IoLoop& aLoop, const Recorder& aRecorder)
+{
+  for (int n = 0; n < 500 && !aRecorder.mIsDone && !aRecorder.mHasFailed; ++n) {
+    aLoop.Wait(Milliseconds(10));
+  }
+}
+
+} // namespace
+
+TEST_GROUP(ServerConnection){};
+
+// The write takes the socket's error, so that the read after it finds an end.
+TEST(ServerConnection, ResetFoundByWriteLeavesUnframedResponseIncomplete)
+{
+  struct Row
+  {
+    const char* mName;
+    std::string mHead;
+    bool mIsReset;
+    bool mIsDone;
+  };
+  const Row kRows[] = {
+    { "no length, reset", "HTTP/1.1 200 X\r\n\r\n", true, false },
+    { "no length, closed", "HTTP/1.1 200 X\r\n\r\n", false, true },
+    { "a length, reset",
+      "HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\n",
+      true,
+      true },
+    { "a longer length, reset",
+      "HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\n",
+      true,
+      false },
+  };
+  for (const Row& row : kRows) {
+    IoLoop loop;
+    Server server;
+    ServerConnection connection(loop, server.mAddress);
+    Recorder first;
+    connection.Begin(kRequest, false, first);
+    server.Accept();
+    loop.Wait(Milliseconds(1000));
+    server.ReadRequest();
+    server.Send("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+    RunUntilEnd(loop, first);
+    CHECK_TEXT(first.mIsDone, row.mName);
+    server.Send(row.mHead + "body");
+    server.Close(row.mIsReset);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    Recorder second;
+    connection.Begin(kRequest, false, second);
+    RunUntilEnd(loop, second);
+    CHECK_EQUAL_TEXT(row.mIsDone, second.mIsDone, row.mName);
+    CHECK_EQUAL_TEXT(!row.mIsDone, second.mHasFailed, row.mName);
+    connection.Abandon();
+  }
+}
