--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -74,6 +74,7 @@
                  bool aIsConnectionLost = false);
   RelayResult ClassifyResult() const;
   bool IsForwardingEvents() const;
+  bool IsStreamCut() const;
   /// Returns false if the replica sends no events but other bytes.
   bool ForwardEvents();
   void SendHead(std::optional<std::size_t> aLength);
--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "heatherfork/detail/relay/http_message.h"
 #include "heatherfork/detail/relay/io_loop.h"
@@ -60,6 +61,11 @@
   /// Whether the connection can run another exchange.
   bool CanBeReused() const;
 
+  /// Whether a request with this id was sent here. A late copy of its response
+  /// would pass for the response to another one with the same id.
+  bool HasSent(const std::string& aRequestId) const;
+  void RecordSent(const std::string& aRequestId);
+
   /// How long the connection may stay idle before the other side closes it.
   Duration IdleTimeout() const { return mIdleTimeout; }
 
@@ -95,8 +101,10 @@
   bool mIsSkippingResponse = false;
   int mSkippedResponses = 0; ///< In this exchange.
   std::size_t mSkippedBytes = 0;
+  std::vector<std::size_t> mSentIds; ///< Hashes of the requests' ids.
   bool mIsHeadRequest = false;
   bool mHasPeerClosed = false;
+  bool mIsReset = false; ///< Found by a write; a read finds only an end.
   Duration mIdleTimeout;
   ExchangeListener* mListener = nullptr;
   std::function<void(ServerConnection&)> mOnIdleEnd;
@@ -115,9 +123,11 @@
   {
   }
 
-  /// Returns an idle connection to aAddress, or a new one if there is none or
-  /// aForceNew is set.
-  ServerConnectionPtr Acquire(const Address& aAddress, bool aForceNew);
+  /// Returns an idle connection to aAddress that has sent no request with this
+  /// id, or a new one if there is none or aForceNew is set.
+  ServerConnectionPtr Acquire(const Address& aAddress,
+                              bool aForceNew,
+                              const std::string& aRequestId);
 
   /// Puts a connection back after its exchange. Closes it if it can't be
   /// reused.
