Own interface: a silent step ends only if its request may go on

Callers saw completions fail, and streams cut, while the backend server still worked: after one timeout of a step the node gave the call up. Cause: OnStepTimeout aborted the call and only then asked for a resume or another attempt, which the request's attempts, a record that must not repeat or the retry budget may refuse. Change: the limits are asked first (MayRetry). Without a resume or a retry the step goes on until the deadline and is asked again a timeout later. A stream that has started goes on if its server has sent tokens since the resume; if the resume brought nothing it is broken as before (e2e-engine_failures demands it). A call that is given up is aborted once, not twice.

--- a/packages/core/include/heatherfork/detail/requests/attempts.h
+++ b/packages/core/include/heatherfork/detail/requests/attempts.h
@@ -19,6 +19,12 @@
            PlacementResult aResult,
            const ServerName& aFailed);
 
+/// Whether the request's limits and the retry budget allow another attempt.
+bool
+MayRetry(const Context& aContext,
+         const RequestState& aState,
+         const RunningRequest& aRequest);
+
 /// Schedules another attempt, or fails the request with the error. A request
 /// that must not repeat and may have run is not retried, nor is a refused crash
 /// suspect. A request that may wait is retried without a limit, with the
@@ -56,7 +62,8 @@
          RunningRequest& aRequest,
          const TokensReceived& aTokens);
 
-/// Handles a step that has exceeded its timeout.
+/// Handles a step that has exceeded its timeout. It goes on if neither a resume
+/// nor another attempt is allowed, and is asked again a timeout later.
 void
 OnStepTimeout(Context& aContext,
               RequestState& aState,
@@ -67,6 +74,10 @@
 Duration
 TimeoutOf(const PolicySettings& aPolicy, const RunningRequest& aRequest);
 
+/// The time from which the step's timeout counts.
+Instant
+StepTimerStart(const Attempt& aAttempt);
+
 /// Sets the wake-up time to the deadline, the step's timeout or the next
 /// attempt, whichever comes first.
 void
--- a/packages/core/include/heatherfork/detail/requests/retry_budget.h
+++ b/packages/core/include/heatherfork/detail/requests/retry_budget.h
@@ -11,6 +11,8 @@
   /// Adds `aPercent` hundredths of a retry, up to the limit.
   void OnRequest(int aPercent);
 
+  bool CanRetry() const { return mBalance >= kOneRetry; }
+
   /// Takes one retry. Returns false if the budget is exhausted.
   bool TakeRetry();
 
--- a/packages/core/include/heatherfork/detail/requests/running_request.h
+++ b/packages/core/include/heatherfork/detail/requests/running_request.h
@@ -57,9 +57,11 @@
   ChosenServer mPrefill;
   ChosenServer mServer; ///< Decode server or plain service.
   Instant mStepStarted{};
+  Instant mKeptAt{}; ///< Last timeout after which a step went on.
   bool mIsIsolated = false;
   bool mIsQueued = false;
   int mResumeCount = 0;
+  int mTokensAtResume = 0; ///< Received before the last resume.
 };
 
 using RequestNumber = std::uint64_t;
--- a/packages/core/src/requests/attempt_steps.cpp
+++ b/packages/core/src/requests/attempt_steps.cpp
@@ -201,6 +201,15 @@
   }
 }
 
+bool
+HasStartedStream(const RunningRequest& aRequest)
+{
+  return std::any_of(
+    aRequest.mWaiters.begin(),
+    aRequest.mWaiters.end(),
+    [](const Waiter& aWaiter) { return aWaiter.mTokensSent > 0; });
+}
+
 bool
 IsPossibleCrash(const RunningRequest& aRequest, CallStatus aStatus)
 {
@@ -323,6 +332,18 @@
          aRequest.mAttempt.mResumeCount < kMaxResumes;
 }
 
+// A stream that has started can't go on with another attempt. Its server counts
+// as lost only if the resume has brought nothing.
+bool
+ShouldEndSilentStep(const Context& aContext,
+                    const RequestState& aState,
+                    const RunningRequest& aRequest)
+{
+  return HasStartedStream(aRequest)
+           ? aRequest.mTokens == aRequest.mAttempt.mTokensAtResume
+           : MayRetry(aContext, aState, aRequest);
+}
+
 void
 ResumeOrFailStep(Context& aContext,
                  RequestState& aState,
@@ -331,6 +352,7 @@
 {
   if (CanResume(aRequest, aStatus)) {
     ++aRequest.mAttempt.mResumeCount;
+    aRequest.mAttempt.mTokensAtResume = aRequest.mTokens;
     CallDecode(aContext, aState, aRequest);
     return;
   }
@@ -439,6 +461,8 @@
   SendNewTokens(aContext, aRequest);
 }
 
+// A silent server may still answer, so its step ends only for a resume or
+// another attempt that is allowed. Else it goes on until the deadline.
 void
 OnStepTimeout(Context& aContext, RequestState& aState, RunningRequest& aRequest)
 {
@@ -449,8 +473,20 @@
     StartAttempt(aContext, aState, aRequest);
     return;
   }
-  aContext.Emit(AbortCall{ aRequest.mAttempt.mId });
-  ResumeOrFailStep(aContext, aState, aRequest, CallStatus::kBroken);
+  if (CanResume(aRequest, CallStatus::kBroken)) {
+    aContext.Emit(AbortCall{ aRequest.mAttempt.mId });
+    ResumeOrFailStep(aContext, aState, aRequest, CallStatus::kBroken);
+    return;
+  }
+  if (ShouldEndSilentStep(aContext, aState, aRequest)) {
+    OnStepFailed(aContext, aState, aRequest, CallStatus::kBroken);
+    return;
+  }
+  LogStep(aContext,
+          aRequest,
+          ServerOfPhase(aRequest).mValue + " is silent, no retry is allowed");
+  aRequest.mAttempt.mKeptAt = aContext.mNow;
+  ScheduleWakeUp(aContext, aState, aRequest);
 }
 
 } // namespace heatherfork::detail
--- a/packages/core/src/requests/attempts.cpp
+++ b/packages/core/src/requests/attempts.cpp
@@ -150,6 +150,22 @@
   aState.mTable.SetAttempt(aRequest, Attempt{});
 }
 
+bool
+MayRetry(const Context& aContext,
+         const RequestState& aState,
+         const RunningRequest& aRequest)
+{
+  const bool mustNotRetry = aRequest.mHasRecord && aRequest.mMayHaveRun;
+  const bool isRefused =
+    aState.mSuspects.IsRefused(aRequest.mRequest.mFingerprint);
+  if (mustNotRetry || isRefused) {
+    return false;
+  }
+  return aRequest.mClass.mMayWait ||
+         (aRequest.mAttemptCount < aContext.mSettings.mPolicy.mMaxAttempts &&
+          aState.mBudget.CanRetry());
+}
+
 void
 RetryOrFail(Context& aContext,
             RequestState& aState,
@@ -157,29 +173,18 @@
             ErrorCode aCode,
             std::string aMessage)
 {
-  const PolicySettings& policy = aContext.mSettings.mPolicy;
-  const bool mustNotRetry = aRequest.mHasRecord && aRequest.mMayHaveRun;
-  const bool isRefused =
-    aState.mSuspects.IsRefused(aRequest.mRequest.mFingerprint);
-  if (mustNotRetry || isRefused) {
+  if (!MayRetry(aContext, aState, aRequest)) {
     FailRequest(aContext, aState, aRequest, aCode, std::move(aMessage));
     return;
   }
-  if (aRequest.mClass.mMayWait) {
-    const Duration backoff =
-      aState.mBudget.TakeRetry()
-        ? BackoffOf(aRequest, kMinMayWaitBackoff, kMaxBackoff)
-        : kMaxBackoff;
-    ScheduleRetry(aContext, aState, aRequest, backoff);
-    return;
-  }
-  if (aRequest.mAttemptCount < policy.mMaxAttempts &&
-      aState.mBudget.TakeRetry()) {
-    const Duration backoff = BackoffOf(aRequest, kMinBackoff, kMaxBackoff);
-    ScheduleRetry(aContext, aState, aRequest, backoff);
-    return;
-  }
-  FailRequest(aContext, aState, aRequest, aCode, std::move(aMessage));
+  const bool isPaid = aState.mBudget.TakeRetry();
+  const bool mayWait = aRequest.mClass.mMayWait;
+  const Duration backoff =
+    isPaid ? BackoffOf(aRequest,
+                       mayWait ? kMinMayWaitBackoff : kMinBackoff,
+                       kMaxBackoff)
+           : kMaxBackoff;
+  ScheduleRetry(aContext, aState, aRequest, backoff);
 }
 
 Duration
@@ -205,6 +210,12 @@
   return Duration::max();
 }
 
+Instant
+StepTimerStart(const Attempt& aAttempt)
+{
+  return std::max(aAttempt.mStepStarted, aAttempt.mKeptAt);
+}
+
 void
 ScheduleWakeUp(Context& aContext,
                RequestState& aState,
@@ -213,7 +224,7 @@
   Instant at = aRequest.mRequest.mDeadline;
   const Duration timeout = TimeoutOf(aContext.mSettings.mPolicy, aRequest);
   if (timeout != Duration::max()) {
-    at = std::min(at, aRequest.mAttempt.mStepStarted + timeout);
+    at = std::min(at, StepTimerStart(aRequest.mAttempt) + timeout);
   }
   if (aRequest.mPhase == Phase::kWaiting) {
     at = std::min(at, aRequest.mNextAttempt);
--- a/packages/core/src/requests/request_reducer.cpp
+++ b/packages/core/src/requests/request_reducer.cpp
@@ -205,7 +205,7 @@
   }
   const Duration timeout = TimeoutOf(aContext.mSettings.mPolicy, aRequest);
   if (timeout != Duration::max() &&
-      aRequest.mAttempt.mStepStarted + timeout <= aContext.mNow) {
+      StepTimerStart(aRequest.mAttempt) + timeout <= aContext.mNow) {
     OnStepTimeout(aContext, mState, aRequest);
     return;
   }
--- a/packages/core/src/requests/retry_budget.cpp
+++ b/packages/core/src/requests/retry_budget.cpp
@@ -13,7 +13,7 @@
 bool
 RetryBudget::TakeRetry()
 {
-  if (mBalance < kOneRetry) {
+  if (!CanRetry()) {
     return false;
   }
   mBalance -= kOneRetry;
