Planned stop: the process exits only once callers have their answers

A caller whose request was still being received 3 s after the SIGTERM saw its connection close without an answer. Cause: the process ended as soon as the reducer had no request left. It does not know of requests that are half read, nor of answers that are passed on but not yet written to the socket. Change: ExitProcess waits while a connection receives a request or has unsent bytes, until nine tenths of the grace period at most (LatestExit). Result: relay-planned_stop, "begun request" failed before (no answer), passes now (503). The tests of slow and of unread answers passed before too: the loss of unsent bytes at the exit was not reproduced.

--- a/packages/core/include/heatherfork/relay_settings.h
+++ b/packages/core/include/heatherfork/relay_settings.h
@@ -24,4 +24,15 @@
   auto operator<=>(const RelaySettings&) const = default;
 };
 
+/// Latest exit after the stop signal. The rest of the grace period is for final
+/// messages to other nodes and the process exit. It must stay below a sixth:
+/// requests that are cut off before the last sixth of the period count as cut
+/// too soon.
+inline Duration
+LatestExit(const RelaySettings& aSettings)
+{
+  constexpr int kReserveDivisor = 10;
+  return aSettings.mGracePeriod - aSettings.mGracePeriod / kReserveDivisor;
+}
+
 } // namespace heatherfork
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -23,11 +23,6 @@
 // still use a list of nodes that includes this one.
 constexpr Duration kLeavingAcceptDuration = Milliseconds(3000);
 
-// The last tenth of the grace period is reserved for final messages to other
-// nodes and the process exit. It must stay below a sixth: requests that are cut
-// off before the last sixth of the period count as cut too soon.
-constexpr int kGraceReserveDivisor = 10;
-
 // Callers ignore further addresses.
 constexpr std::size_t kMaxEntries = 64;
 
@@ -320,9 +315,7 @@
   }
   const Duration elapsed = aContext.Now() - mLeavingSince;
   const bool isDone = ShouldRefuseNew(aContext.Now()) && mRequests.Size() == 0;
-  if (isDone ||
-      elapsed >= mRelaySettings.mGracePeriod -
-                   mRelaySettings.mGracePeriod / kGraceReserveDivisor) {
+  if (isDone || elapsed >= LatestExit(mRelaySettings)) {
     mHasExited = true;
     aContext.Emit(RelayLogEntry{
       "stopped", "", "open=" + std::to_string(mRequests.Size()) });
--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -65,6 +65,14 @@
   bool IsClosed() const { return mDescriptor < 0; }
   bool IsIdle() const { return !mIsAnswering && !mReader.HasBegun(); }
 
+  /// Whether a request or an answer is on its way.
+  bool IsBusy() const
+  {
+    return mDescriptor >= 0 &&
+           (mIsAnswering || mWrittenBytes < mOutput.size() ||
+            (mReader.HasBegun() && !mClosesAfterWrite));
+  }
+
   /// Whether the current request asks to close the connection.
   bool WantsClose() const { return mWantsClose; }
 
@@ -119,6 +127,9 @@
   /// Closes connections that have no request in progress.
   void CloseIdle();
 
+  /// Whether a request or an answer is on its way at any connection.
+  bool IsBusy() const;
+
   void OnIo(bool aReadable, bool aWritable, bool aFailed) override;
 
 private:
--- a/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
@@ -68,6 +68,9 @@
   bool TryAnswerInfo(relay::CallerConnection& aConnection,
                      const relay::HttpHead& aHead);
   void StartMetrics();
+
+  /// Lets the process exit once callers have received their answers.
+  void ExitIfAnswersAreSent(Instant aNow);
   std::string MetricsText();
 
   const RelayNodeSettings mSettings;
@@ -91,6 +94,7 @@
   CallerId mLastCallerId = 0;
   Instant mNextTimerAt{};
   Instant mLeavingSince{};
+  bool mMayExit = false;    ///< The reducer has no more requests.
   bool mShouldExit = false; ///< Accessed by the loop's thread only.
 
   std::thread mThread;
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -354,4 +354,13 @@
   }
 }
 
+bool
+CallerPort::IsBusy() const
+{
+  return std::any_of(
+    mConnections.begin(), mConnections.end(), [](const auto& aConnection) {
+      return aConnection->IsBusy();
+    });
+}
+
 } // namespace heatherfork::relay
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -209,6 +209,7 @@
     mCallerPort.StopListening();
     mCallerPort.CloseIdle();
   }
+  ExitIfAnswersAreSent(aNow);
   Post(TimerFired{});
 }
 
@@ -269,6 +270,17 @@
 void
 RelayNode::State::On(const ExitProcess& /*aEffect*/)
 {
+  mMayExit = true;
+  ExitIfAnswersAreSent(SteadyNow());
+}
+
+void
+RelayNode::State::ExitIfAnswersAreSent(Instant aNow)
+{
+  const bool isLate = aNow - mLeavingSince >= LatestExit(mSettings.mRelay);
+  if (!mMayExit || (mCallerPort.IsBusy() && !isLate)) {
+    return;
+  }
   {
     const std::lock_guard lock(mMutex);
     mIsStopped = true;
--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -10,6 +10,7 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 STREAM = b"HTTP/1.1 200 X\r\n" + SIGNED + b"Content-Type: text/event-stream\r\n" + CHUNKED
 PAUSE_SECONDS = 2.5
+LARGE_BYTES = 1_500_000
 CHUNK = b"4000\r\n" + b"a" * 0x4000 + b"\r\n"
 COMMENTS = b"4000\r\n" + b": a\n" * 0x1000 + b"\r\n"
 COMMENT_EVENTS = b"5000\r\n" + b": a\n\n" * 0x1000 + b"\r\n"
@@ -43,7 +44,7 @@
     Each response consumes one entry of the fault list: "truncated", "garbage",
     "extra" (first sends a late response to another request), "unsigned",
     "encoded", "full" (503, not run), "elsewhere" (421), "silent", "reset",
-    "unframed", "failed" (500), "cut-stream" (after two events), "pause" (none
+    "unframed", "large" (of LARGE_BYTES), "failed" (500), "cut-stream" (after two events), "pause" (none
     of the answer, or no event after the second one, for PAUSE_SECONDS), and
     those of ENDLESS, which send bytes until the node closes the connection.
     """
@@ -137,6 +138,8 @@
         if self.phase:
             return self.stream(connection, request_id, fields, fault)
         text = b"answer to " + request_id.encode()
+        if fault == "large":
+            text = text.ljust(LARGE_BYTES, b"a")
         if fault == "extra":
             connection.sendall(encode_response(200, b"another's", "other"))
         if fault == "truncated":
