Planned stop: requests that have arrived are read before idle connections close

Callers on kept connections saw them close without an answer to a request that had reached the node. Cause: CloseIdle ran after one wait of the loop, which handles 128 events at most and may be behind. A connection with an unread request counted as idle; its input was dropped. Change: each idle connection is read once more before it is closed. Result: relay-planned_stop, 300 kept connections with a request each while the node is paused at the moment of closing: many got no answer before (read as status 0), all get 503 now.

--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -76,6 +76,9 @@
   /// Whether the current request asks to close the connection.
   bool WantsClose() const { return mWantsClose; }
 
+  /// Closes the connection unless a request has arrived on it.
+  void CloseIfIdle();
+
   /// Checks the timeouts.
   void OnTimer(Instant aNow);
 
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -250,6 +250,19 @@
   }
 }
 
+// What arrived since the last wait of the loop is read first.
+void
+CallerConnection::CloseIfIdle()
+{
+  if (mDescriptor < 0 || mClosesAfterWrite || !IsIdle()) {
+    return;
+  }
+  ReadAll();
+  if (mDescriptor >= 0 && !mClosesAfterWrite && IsIdle()) {
+    Finish(false);
+  }
+}
+
 void
 CallerConnection::Abort()
 {
@@ -348,9 +361,7 @@
 CallerPort::CloseIdle()
 {
   for (const auto& connection : mConnections) {
-    if (connection->IsIdle()) {
-      connection->Finish(false);
-    }
+    connection->CloseIfIdle();
   }
 }
 
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -110,6 +110,20 @@
         self.ask_for_large_answer(caller)
         self.assertEqual(LARGE_BYTES, read_slowly(caller, ACCEPT_SECONDS - 0.4))
 
+    # The node has more connections than it reads at a time when it closes those
+    # without a request.
+    def test_requests_on_kept_connections_are_answered_when_idle_ones_close(self):
+        callers = [self.connect() for _ in range(300)]
+        wait_until(lambda: self.node.send_request("/often/x")[0] == 200)
+        self.signal_stop()
+        self.sleep_until(ACCEPT_SECONDS - 0.5)
+        self.node.process.send_signal(signal.SIGSTOP)
+        for number, caller in enumerate(callers):
+            caller.sendall(request("/often/x", "k%d" % number))
+        self.sleep_until(ACCEPT_SECONDS + 0.3)
+        self.node.process.send_signal(signal.SIGCONT)
+        self.assertEqual([503] * len(callers), self.read_all(callers))
+
 
 if __name__ == "__main__":
     unittest.main()
