Planned stop: waiting connections are accepted before the port closes

Callers whose connection waited to be accepted were reset when the listener closed, though their request had been sent. Cause: 64 connections are accepted a wake-up; the close of the listener resets the rest. Change: StopListening accepts what waits, at most the listen backlog. Result: relay-planned_stop, 200 new connections with a request each while the node is paused at that moment: failed before, all get 503 now.

--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -136,6 +136,8 @@
   void OnIo(bool aReadable, bool aWritable, bool aFailed) override;
 
 private:
+  void AcceptWaiting(int aLimit);
+
   IoLoop& mLoop;
   RequestListener& mListener;
   CallerLimits mLimits;
--- a/packages/relay/include/heatherfork/detail/relay/sockets.h
+++ b/packages/relay/include/heatherfork/detail/relay/sockets.h
@@ -9,6 +9,9 @@
 /// Non-blocking TCP sockets.
 namespace heatherfork::relay {
 
+/// Connections that wait to be accepted, at most.
+inline constexpr int kListenBacklog = 1024;
+
 /// Opens a listening socket and sets aDescriptor.
 absl::Status
 Listen(const Address& aAddress, int& aDescriptor);
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -323,10 +323,12 @@
   return status;
 }
 
+// Connections that wait to be accepted would be reset by the close.
 void
 CallerPort::StopListening()
 {
   if (mDescriptor >= 0) {
+    AcceptWaiting(kListenBacklog);
     mLoop.Remove(mDescriptor);
     close(mDescriptor);
     mDescriptor = -1;
@@ -336,7 +338,13 @@
 void
 CallerPort::OnIo(bool /*aReadable*/, bool /*aWritable*/, bool /*aFailed*/)
 {
-  for (int n = 0; n < kMaxAcceptsPerWakeup; ++n) {
+  AcceptWaiting(kMaxAcceptsPerWakeup);
+}
+
+void
+CallerPort::AcceptWaiting(int aLimit)
+{
+  for (int n = 0; n < aLimit; ++n) {
     const int descriptor = Accept(mDescriptor);
     if (descriptor < 0) {
       return;
--- a/packages/relay/src/sockets.cpp
+++ b/packages/relay/src/sockets.cpp
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr int kListenBacklog = 1024;
-
 // A connection fails when sent data stays unacknowledged for this time. It is
 // below the shortest limit for detecting a failure.
 constexpr unsigned kUserTimeoutMs = 2000;
--- a/tests/relay/test_planned_stop.py
+++ b/tests/relay/test_planned_stop.py
@@ -124,6 +124,17 @@
         self.node.process.send_signal(signal.SIGCONT)
         self.assertEqual([503] * len(callers), self.read_all(callers))
 
+    def test_requests_on_waiting_connections_are_answered_when_the_port_closes(self):
+        self.signal_stop()
+        self.sleep_until(ACCEPT_SECONDS - 0.5)
+        self.node.process.send_signal(signal.SIGSTOP)
+        callers = [self.connect() for _ in range(200)]
+        for number, caller in enumerate(callers):
+            caller.sendall(request("/often/x", "w%d" % number))
+        self.sleep_until(ACCEPT_SECONDS + 0.3)
+        self.node.process.send_signal(signal.SIGCONT)
+        self.assertEqual([503] * len(callers), self.read_all(callers))
+
 
 if __name__ == "__main__":
     unittest.main()
