--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -65,9 +65,20 @@
   bool IsClosed() const { return mDescriptor < 0; }
   bool IsIdle() const { return !mIsAnswering && !mReader.HasBegun(); }
 
+  /// Whether a request or an answer is on its way.
+  bool IsBusy() const
+  {
+    return mDescriptor >= 0 &&
+           (mIsAnswering || mWrittenBytes < mOutput.size() ||
+            (mReader.HasBegun() && !mClosesAfterWrite));
+  }
+
   /// Whether the current request asks to close the connection.
   bool WantsClose() const { return mWantsClose; }
 
+  /// Closes the connection unless a request has arrived on it.
+  void CloseIfIdle();
+
   /// Checks the timeouts.
   void OnTimer(Instant aNow);
 
@@ -119,9 +130,14 @@
   /// Closes connections that have no request in progress.
   void CloseIdle();
 
+  /// Whether a request or an answer is on its way at any connection.
+  bool IsBusy() const;
+
   void OnIo(bool aReadable, bool aWritable, bool aFailed) override;
 
 private:
+  void AcceptWaiting(int aLimit);
+
   IoLoop& mLoop;
   RequestListener& mListener;
   CallerLimits mLimits;
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -250,6 +250,19 @@
   }
 }
 
+// What arrived since the last wait of the loop is read first.
+void
+CallerConnection::CloseIfIdle()
+{
+  if (mDescriptor < 0 || mClosesAfterWrite || !IsIdle()) {
+    return;
+  }
+  ReadAll();
+  if (mDescriptor >= 0 && !mClosesAfterWrite && IsIdle()) {
+    Finish(false);
+  }
+}
+
 void
 CallerConnection::Abort()
 {
@@ -310,10 +323,12 @@
   return status;
 }
 
+// Connections that wait to be accepted would be reset by the close.
 void
 CallerPort::StopListening()
 {
   if (mDescriptor >= 0) {
+    AcceptWaiting(kListenBacklog);
     mLoop.Remove(mDescriptor);
     close(mDescriptor);
     mDescriptor = -1;
@@ -323,7 +338,13 @@
 void
 CallerPort::OnIo(bool /*aReadable*/, bool /*aWritable*/, bool /*aFailed*/)
 {
-  for (int n = 0; n < kMaxAcceptsPerWakeup; ++n) {
+  AcceptWaiting(kMaxAcceptsPerWakeup);
+}
+
+void
+CallerPort::AcceptWaiting(int aLimit)
+{
+  for (int n = 0; n < aLimit; ++n) {
     const int descriptor = Accept(mDescriptor);
     if (descriptor < 0) {
       return;
@@ -348,10 +369,17 @@
 CallerPort::CloseIdle()
 {
   for (const auto& connection : mConnections) {
-    if (connection->IsIdle()) {
-      connection->Finish(false);
-    }
+    connection->CloseIfIdle();
   }
 }
 
+bool
+CallerPort::IsBusy() const
+{
+  return std::any_of(
+    mConnections.begin(), mConnections.end(), [](const auto& aConnection) {
+      return aConnection->IsBusy();
+    });
+}
+
 } // namespace heatherfork::relay
