Signals during the start of a node wait until it handles them

Cause: a node blocked SIGTERM and SIGHUP only after it had read its settings. Until then SIGHUP ended the process (a reload just after a restart stops the node), and SIGTERM ended it with -15 instead of 0. Found by the soak: nodes that got SIGTERM right after their start "ended with -15". Nodes of the tests may be started again and given ports. The time before main remains, as for any process.

--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -110,7 +110,10 @@
 }
 
 int
-RunRelay(const std::string& aToml, const std::string& aPath, bool aCheckOnly)
+RunRelay(const std::string& aToml,
+         const std::string& aPath,
+         bool aCheckOnly,
+         const sigset_t& aSignals)
 {
   RelaySettingsResult read = ReadRelaySettings(aToml);
   if (!CheckNoMistakes(read.mMistakes, aPath)) {
@@ -127,7 +130,6 @@
   name << self.mSelf.mName.mValue << "." << std::hex
        << (self.mSelf.mIncarnation & 0xffffffff);
   self.mSelf.mName.mValue = name.str();
-  const sigset_t signals = BlockStopSignals();
   const platform::Wire wire;
   RelayNode node(read.mSettings, wire);
   const absl::Status status = node.Start();
@@ -135,14 +137,17 @@
     std::cerr << status.message() << "\n";
     return kExitUnavailable;
   }
-  WaitForStop(signals, [&node] { node.LogReloadRequest(); });
+  WaitForStop(aSignals, [&node] { node.LogReloadRequest(); });
   node.RequestStop();
   node.WaitUntilStopped();
   return kExitOk;
 }
 
 int
-RunNode(const std::string& aToml, const std::string& aPath, bool aCheckOnly)
+RunNode(const std::string& aToml,
+        const std::string& aPath,
+        bool aCheckOnly,
+        const sigset_t& aSignals)
 {
   SettingsResult read = ReadSettings(aToml);
   if (!CheckNoMistakes(read.mMistakes, aPath)) {
@@ -154,7 +159,6 @@
   Settings& settings = read.mSettings;
   GenerateIncarnation(settings.mNode);
   SetUpLog(settings.mLogLevel);
-  const sigset_t signals = BlockStopSignals();
   Node node(settings);
   const absl::Status status = node.Start();
   if (!status.ok()) {
@@ -162,7 +166,7 @@
     return kExitUnavailable;
   }
   const int signal =
-    WaitForStop(signals, [] { spdlog::info("reload: settings unchanged"); });
+    WaitForStop(aSignals, [] { spdlog::info("reload: settings unchanged"); });
   spdlog::info("planned stop: signal={}", signal);
   node.RequestStop();
   node.WaitUntilStopped();
@@ -175,6 +179,8 @@
 int
 main(int aCount, char** aArguments)
 {
+  // First, so that a signal during the start does not end the process at once.
+  const sigset_t signals = BlockStopSignals();
   absl::SetProgramUsageMessage(
     "heatherfork --settings FILE\n"
     "Runs one node; a table [relay] in its settings makes it relay opaque\n"
@@ -192,6 +198,6 @@
     return kExitUsage;
   }
   const bool check = absl::GetFlag(FLAGS_check);
-  return IsRelaySettings(*toml) ? RunRelay(*toml, path, check)
-                                : RunNode(*toml, path, check);
+  return IsRelaySettings(*toml) ? RunRelay(*toml, path, check, signals)
+                                : RunNode(*toml, path, check, signals);
 }
--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -73,14 +73,16 @@
 
 class Node:
     def __init__(self, name, store, seed=None, leave_log_unread=False, metrics_port=None,
-                 retry_slack=1000):
-        self.caller_port, self.peer_port, self.info_port, self.metrics_port = pick_free_ports(4)
+                 retry_slack=1000, ports=None):
+        self.caller_port, self.peer_port, self.info_port, self.metrics_port = (
+            ports or pick_free_ports(4)
+        )
         self.metrics_port = metrics_port or self.metrics_port
         self.address = "127.0.0.1:%d" % self.peer_port
         self.folder = tempfile.TemporaryDirectory()
         self.log_path = Path(self.folder.name) / "log"
-        settings = Path(self.folder.name) / "local.toml"
-        settings.write_text(
+        self.settings = Path(self.folder.name) / "local.toml"
+        self.settings.write_text(
             f"""
 [node]
 name = "{name}"
@@ -100,9 +102,12 @@
 grace_s = 8.0
 """
         )
-        with open(self.log_path, "wb") as log:
+        self.start(leave_log_unread)
+
+    def start(self, leave_log_unread=False):
+        with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
-                [BUILD / "packages/node/heatherfork", "--settings", settings],
+                [BUILD / "packages/node/heatherfork", "--settings", self.settings],
                 stdout=subprocess.PIPE if leave_log_unread else log,
                 stderr=subprocess.STDOUT,
             )
