--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -94,7 +94,10 @@
                 fields["line"] = lines[0]
                 length = int(fields.get("Content-Length", 0))
                 while len(data) < length:
-                    data += connection.recv(65536)
+                    more = connection.recv(65536)
+                    if not more:
+                        return
+                    data += more
                 body, data = data[:length], data[length:]
                 self.received.append((fields, body))
                 if not self.answer(connection, fields, body):
