--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -109,6 +109,10 @@
                     return
 
     def answer(self, connection, fields, body):
+        if "Request-Id" not in fields:
+            # A call that frees a KV cache.
+            connection.sendall(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+            return True
         fault = self.faults.pop(0) if self.faults else ""
         request_id = fields["Request-Id"]
         if callable(fault):
--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -241,5 +241,5 @@
             fields
             for replica in [*self.plain_replicas, self.prefill, *self.decode_replicas]
             for fields, _ in replica.received
-            if fields["Request-Id"] == request_id
+            if fields.get("Request-Id") == request_id
         ]
