A request's fingerprint holds its method and host

Cause: the fingerprint was that of target and body alone, so a request that crashes replicas and another host's sound request with the same path and an empty body were the same content. An answer of one cleared the other, and a refusal of one was that of both.

--- a/packages/core/include/heatherfork/routing.h
+++ b/packages/core/include/heatherfork/routing.h
@@ -127,7 +127,7 @@
   int mExpectedTokens = 0; ///< Estimate of the caller; 0 if not given.
   std::vector<PromptPart> mParts;
   bool mIsResume = false;         ///< Resumes a stream after a given event.
-  std::uint64_t mFingerprint = 0; ///< Hash of path and content.
+  std::uint64_t mFingerprint = 0; ///< Of method, host, target and content.
 
   auto operator<=>(const RelayRequest&) const = default;
 };
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -180,3 +180,37 @@
   CHECK_EQUAL(99U, routing->mLimits.mMaxHeaderBytes);
   CHECK(kWire.ReadRouting("{}", reason) == nullptr);
 }
+
+// Requests of different hosts go to different services: what is known of one is
+// not true of the other.
+TEST(Platform, FingerprintTellsRequestsApart)
+{
+  struct Row
+  {
+    const char* mMethod;
+    const char* mHost;
+    const char* mTarget;
+    const char* mBody;
+    bool mIsEqual;
+  };
+  const Row kRows[] = {
+    { "GET", "h.example", "/p/x", "", true },
+    { "GET", "h.example:80", "/p/x", "", true },
+    { "POST", "h.example", "/p/x", "", false },
+    { "GET", "other.example", "/p/x", "", false },
+    { "GET", "h.example", "/p/y", "", false },
+    { "GET", "h.example", "/p/x?q=1", "", false },
+    { "GET", "h.example", "/p/x", "a", false },
+  };
+  const auto fingerprint = [](const Row& aRow) {
+    HttpHead head;
+    head.mMethod = aRow.mMethod;
+    head.mTarget = aRow.mTarget;
+    head.mFields = { { "Host", aRow.mHost }, kId };
+    const auto read = kWire.ReadRequest(head, aRow.mBody);
+    return std::get<RelayRequest>(read).mFingerprint;
+  };
+  for (const Row& row : kRows) {
+    CHECK_EQUAL(row.mIsEqual, fingerprint(row) == fingerprint(kRows[0]));
+  }
+}
