Soak: ports come from where all relay tests get them

The soak took fixed blocks of ports from a range in which the other tests pick theirs, and neither reserved them from the other.

--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -16,7 +16,7 @@
 WAIT_LIMIT_SECONDS = 30
 # Above the ports of the tests in e2e.
 FIRST_PORT = 30001
-RESERVED_NAMES = []
+RESERVED_NAMES = {}  # By port.
 
 
 def first_outgoing_port():
@@ -41,11 +41,16 @@
         except OSError:
             name.close()
             continue
-        RESERVED_NAMES.append(name)
+        RESERVED_NAMES[port] = name
         ports.append(port)
     return ports
 
 
+def release_ports(ports):
+    for port in ports:
+        RESERVED_NAMES.pop(port).close()
+
+
 def route(prefix, service, kind, **more):
     fields = {
         "Name": "r" + prefix.replace("/", "-"),
--- a/tests/relay/soak.py
+++ b/tests/relay/soak.py
@@ -22,27 +22,13 @@
 import soak_checks
 from fake_replica import FakeReplica, encode_head, encode_response
 from fake_store import FakeStore
-from relay_nodes import Node, configuration, request, route
+from relay_nodes import Node, configuration, release_ports, request, route
 
 GRACE_SECONDS = 8
 RECOVER_SECONDS = 12
 CALLERS = 32
 CALLER_LIMIT_SECONDS = 7  # Beyond the deadline of each request, 6 s.
 PATHS = {"once": "/once/", "often": "/often/", "stream": "/stream/", "resumable": "/resumable/"}
-# Blocks of ports: outside the ephemeral range, so that no outgoing connection
-# takes the port of a node that is down. The first port of a block reserves it.
-PORT_BLOCKS = range(30100, 32600, 160)
-
-
-def reserve_ports():
-    """Returns a socket that reserves ports while it is open, and the ports."""
-    for first in PORT_BLOCKS:
-        try:
-            guard = socket.create_server(("127.0.0.1", first))
-        except OSError:
-            continue
-        return guard, iter(range(first + 1, first + PORT_BLOCKS.step))
-    raise OSError("all blocks of ports are in use")
 
 
 class Run:
@@ -385,12 +371,10 @@
         for service, phase, count in (("desk", None, 3), ("llm", "prefill", 2), ("llm", "decode", 3)):
             for _ in range(count):
                 self.add_replica(service, phase)
-        self.port_guard, ports = reserve_ports()
         self.nodes = []
         for number in range(30 if seed % 10 == 0 else self.random.randint(3, 6)):
             seed_address = self.nodes[0].address if self.nodes else None
-            node = Node("n%d" % number, self.store.address, seed=seed_address,
-                        ports=list(itertools.islice(ports, 4)))
+            node = Node("n%d" % number, self.store.address, seed=seed_address)
             node.name, node.lock = "n%d" % number, threading.RLock()
             self.stops[node] = []
             self.nodes.append(node)
@@ -642,7 +626,9 @@
         self.store.server.server_close()
         for node in self.nodes:
             node.stop()
-        self.port_guard.close()
+            release_ports(
+                [node.caller_port, node.peer_port, node.info_port, node.metrics_port]
+            )
 
 
 def has_set_up_signals(process):
