Content answered before is refused only by nodes that count three crashes

Change: a node that has seen the content answered takes over another's refusal only if it has itself counted three crashes (BUDGET's half for sound content).

--- a/packages/core/include/heatherfork/detail/relay/crashing_content.h
+++ b/packages/core/include/heatherfork/detail/relay/crashing_content.h
@@ -33,8 +33,8 @@
   /// Returns whether it was a suspect.
   bool OnSound(ContentId aContent);
 
-  /// Adopts another node's refusal. Returns false if the content is known to be
-  /// sound.
+  /// Adopts another node's refusal, unless the content was answered before and
+  /// few crashes are known. Returns false if it is known to be sound.
   bool OnRefused(Instant aNow, const RefusedContent& aRefused);
 
   /// Whether the content was running at a crash since its last answer.
--- a/packages/core/src/relay/content_guard.cpp
+++ b/packages/core/src/relay/content_guard.cpp
@@ -203,7 +203,8 @@
       mContent.RefusedFor(aContext.Now(), refused.mContent).has_value();
     if (!mContent.OnRefused(aContext.Now(), refused)) {
       reply.mSound.push_back(refused.mContent);
-    } else if (!isKnown) {
+    } else if (!isKnown &&
+               mContent.RefusedFor(aContext.Now(), refused.mContent)) {
       isNewlyRefused = true;
       LogContents(aContext,
                   "content-refused",
--- a/packages/core/src/relay/crashing_content.cpp
+++ b/packages/core/src/relay/crashing_content.cpp
@@ -92,12 +92,19 @@
 }
 
 // A crash since the last answer makes the content a suspect, and then the other
-// node may know more of it.
+// node may know more of it. What it does not know is that the content was
+// answered before, so this node must have counted as many crashes.
 bool
 CrashingContent::OnRefused(Instant aNow, const RefusedContent& aRefused)
 {
-  if (!mSuspects.contains(aRefused.mContent) && WasSound(aRefused.mContent)) {
-    return false;
+  const auto known = mSuspects.find(aRefused.mContent);
+  if (WasSound(aRefused.mContent)) {
+    if (known == mSuspects.end()) {
+      return false;
+    }
+    if (known->second.mCount < kMaxCrashes) {
+      return true;
+    }
   }
   Suspect& suspect = FindOrAdd(aRefused.mContent);
   const Duration remaining = std::min(aRefused.mRemaining, kRefusalLifetime);
