Servers' limits are kept by the schedulers that place on them

Cause: no source read the field. Placement went by places and load alone. Change: platform/ decodes the field once into a rate. A node reports what it hears to the scheduler of the replica, ahead of its next request and at once on a change; the limit heard last holds, and belongs to an incarnation. The scheduler places by a token bucket for each replica (ServerLimiter), for both stages of an engine request, so the sum over all nodes is one pace wherever the load is. A node that stands in for a scheduler that it can't reach uses its part of the limit. What can't be placed in time within the limits is refused at once (error 305) with a time that fits their sum. A malformed field names no limit and is logged once. A stream that has begun goes on before new requests. No KV cache is freed by a call at a limited replica. Why it works: all requests for a replica pass one scheduler, whatever node took them, so no share has to move.

--- a/packages/core/include/heatherfork/detail/relay/relay_requests.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_requests.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "heatherfork/detail/relay/content_guard.h"
+#include "heatherfork/detail/relay/heard_limits.h"
 #include "heatherfork/detail/relay/route_table.h"
 #include "heatherfork/detail/relay/service_retry_budget.h"
 #include "heatherfork/detail/scheduling/shard_chooser.h"
@@ -75,6 +76,7 @@
   void On(RelayContext& aContext, const RelayCallerDisconnected& aEvent);
   void On(RelayContext& aContext, const RelayStreamStarted& aEvent);
   void On(RelayContext& aContext, const RelayCallSilence& aEvent);
+  void On(RelayContext& aContext, const RelayLimitSeen& aEvent);
   void On(RelayContext& aContext, const RelayCallEnded& aEvent);
   void On(RelayContext& aContext, const ServerChecked& aEvent);
   void On(RelayContext& aContext,
@@ -94,7 +96,11 @@
   /// after a change of members or shards.
   void UpdateSchedulers(RelayContext& aContext);
 
+  /// Drops what is known of replicas that are gone or have started again.
+  void OnReplicas(const Replicas& aReplicas) { mLimits.OnReplicas(aReplicas); }
+
   std::size_t Size() const { return mOpen.size(); }
+  const HeardLimits& Limits() const { return mLimits; }
 
   /// Earliest expiry of the open requests; empty when there are none. Linear.
   std::optional<Instant> NextExpiry() const;
@@ -202,6 +208,7 @@
   ShardChooser mShards;
   ServiceRetryBudget mBudget;
   ContentGuard mContentGuard;
+  HeardLimits mLimits;
   std::map<CallerId, OpenRequest> mOpen;
   std::map<AttemptId, CallerId> mCallerByAttempt;
   std::map<NodeId, Instant> mSchedulerUsedAt;  ///< Last placement request.
--- a/packages/core/include/heatherfork/detail/scheduling/dispatch_pass.h
+++ b/packages/core/include/heatherfork/detail/scheduling/dispatch_pass.h
@@ -31,6 +31,7 @@
                const TimeModel& aModel,
                const PrefixHints& aHints,
                const SchedulingSettings& aSettings,
+               double aLimitShare,
                Instant aNow);
 
   /// Prefers servers that meet the target, then the earliest first token; for a
@@ -49,6 +50,7 @@
     double mSlowness = 1;
     double mRememberedSlowness = 1;
     std::size_t mZone = 0;
+    int mRequestsAllowed = 0; ///< By the limit that the server names.
   };
   /// A decode server or a replica of a plain service.
   struct DecodeView
@@ -60,6 +62,7 @@
     bool mIsEjected = false;
     bool mCanProbe = false;
     std::size_t mZone = 0;
+    int mRequestsAllowed = 0; ///< By the limit that the server names.
   };
 
   void AddServer(const ServerStatePtr& aServer);
@@ -88,6 +91,7 @@
   const TimeModel& mModel;
   const PrefixHints& mHints;
   const SchedulingSettings& mSettings;
+  double mLimitShare = 1; ///< This node's part of each limit.
   Instant mNow{};
   std::vector<PrefillView> mPrefill;
   std::vector<DecodeView> mDecode;
--- a/packages/core/include/heatherfork/detail/scheduling/placement.h
+++ b/packages/core/include/heatherfork/detail/scheduling/placement.h
@@ -30,7 +30,7 @@
 
   const NodeId& From() const { return mFrom; }
   const PlaceRequest& Request() const { return mRequest; }
-  Placed Reply(const ShardId& aShard, Duration aDelay) const;
+  Placed Reply(const ShardId& aShard, Duration aDelay, Instant aNow) const;
 
   Instant HeldAt() const { return mHeldAt; }
 
--- a/packages/core/include/heatherfork/detail/scheduling/predictive_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/predictive_scheduler.h
@@ -33,8 +33,15 @@
 
   void OnNodeGone(Context& aContext, const NodeId& aNode) override;
 
+  /// Applies the limits that a node has heard; the one heard last holds.
+  void On(Context& aContext, const NodeId& aFrom, const LimitReport& aReport);
+
+  /// Drops the limit of a server that is gone or has started again.
+  void ForgetLimit(const ServerName& aServer);
+
 private:
   void Update(Context& aContext);
+  void ApplyLimits(Context& aContext, ShardScheduler& aScheduler);
   const Shard* ShardOf(const PlaceRequest& aPlace) const;
   ShardScheduler& GetOrCreate(Context& aContext, const Shard& aShard);
   ShardScheduler* Find(const AttemptId& aAttempt) const;
@@ -46,6 +53,13 @@
   std::map<AttemptId, ShardScheduler*> mSchedulerByAttempt;
   Instant mPrunedAt{};
   std::map<ServerName, LoadReport> mReports;
+
+  struct HeardLimit
+  {
+    std::optional<RequestRate> mRate;
+    Instant mHeardAt{};
+  };
+  std::map<ServerName, HeardLimit> mLimits;
 };
 
 } // namespace heatherfork::detail
--- a/packages/core/include/heatherfork/detail/scheduling/server_state.h
+++ b/packages/core/include/heatherfork/detail/scheduling/server_state.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "heatherfork/configuration.h"
+#include "heatherfork/detail/scheduling/server_limiter.h"
 #include "heatherfork/detail/scheduling/slowness.h"
 #include "heatherfork/server_call.h"
 
@@ -84,6 +85,9 @@
 
   void RecordReport(const LoadReport& aReport) { mReport = aReport; }
 
+  ServerLimiter& Limiter() { return mLimiter; }
+  const ServerLimiter& Limiter() const { return mLimiter; }
+
   /// Set while the server is reserved for a crash suspect.
   bool mIsIsolated = false;
 
@@ -106,6 +110,7 @@
   Instant mBlockedUntil{};
   Instant mProbedAt{};
   LoadReport mReport;
+  ServerLimiter mLimiter;
 };
 
 using ServerStatePtr = std::shared_ptr<ServerState>;
--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -51,6 +51,12 @@
   void RecordProgress(Context& aContext, const PlacementProgress& aProgress);
   void End(Context& aContext, const PlacementEnded& aEnded);
   void RecordReport(const ReportReceived& aReport);
+  void SetLimit(Context& aContext,
+                const ServerName& aServer,
+                const std::optional<RequestRate>& aRate);
+
+  /// Drops the limit of a server's former incarnation.
+  void ForgetLimit(const ServerName& aServer);
   void Tick(Context& aContext);
   void OnNodeGone(Context& aContext, const NodeId& aNode);
 
@@ -84,9 +90,32 @@
   DispatchResult WaitForSuspect(Context& aContext,
                                 const WaitQueue::Key& aKey,
                                 const QueuedRequest& aRequest);
+  /// The wait for servers that all have limits, and the time from one request
+  /// to the next.
+  struct LimitedWait
+  {
+    Duration mUntilNext{};
+    Duration mInterval{};
+    Duration For(int aRequestsAhead) const
+    {
+      return mUntilNext + aRequestsAhead * mInterval;
+    }
+  };
+  /// This node's part of each limit: all of it, unless it only stands in for a
+  /// scheduler that it can't reach.
+  double LimitShare(const Context& aContext);
+
+  /// Empty unless limits bind all servers of a role that the request needs.
+  std::optional<LimitedWait> WaitForLimits(const Context& aContext,
+                                           const PlaceRequest& aPlace);
+  std::optional<LimitedWait> WaitForLimits(const Context& aContext,
+                                           const PlaceRequest& aPlace,
+                                           Role aRole);
   bool CanRefuseWithRetry(const WaitQueue::Key& aKey,
                           const QueuedRequest& aRequest) const;
-  void RefuseWithRetry(Context& aContext, const WaitQueue::Key& aKey);
+  void RefuseWithRetry(Context& aContext,
+                       const WaitQueue::Key& aKey,
+                       const std::optional<LimitedWait>& aLimited);
   void RefuseOvertaken(Context& aContext);
   bool TryDemote(const WaitQueue::Key& aKey, const QueuedRequest& aRequest);
   void Promote(Instant aNow);
@@ -108,6 +137,7 @@
   bool IsTooLarge(const PlaceRequest& aPlace) const;
 
   ShardId mId;
+  std::string mKey; ///< Of the shard, for rendezvous hashing.
   Limits mLimits;
   std::vector<ServerStatePtr> mServers;
   std::map<ClassName, int> mPriorities;
@@ -120,6 +150,8 @@
   SuspectRuns mSuspectRuns;
   int mMostPieces = 0; ///< Of one decode server; 0 if not published.
   RetryPacer mRetryPacer;
+  double mLimitShare = 1; ///< At mShareMembers.
+  std::uint64_t mShareMembers = 0;
   std::uint64_t mInTimePlacements = 0;
   Instant mLastReleaseAt{};
   Duration mReleaseInterval = Milliseconds(50);
--- a/packages/core/include/heatherfork/detail/trace/event_fields.h
+++ b/packages/core/include/heatherfork/detail/trace/event_fields.h
@@ -39,7 +39,8 @@
          Field{ "time_left", &PlaceRequest::mTimeLeft },
          Field{ "target", &PlaceRequest::mTarget },
          Field{ "content", &PlaceRequest::mContentFingerprint },
-         Field{ "suspect", &PlaceRequest::mIsSuspect });
+         Field{ "suspect", &PlaceRequest::mIsSuspect },
+         Field{ "begun", &PlaceRequest::mHasBegun });
 
 template<>
 inline constexpr auto kFields<PlacementKept> =
@@ -58,7 +59,8 @@
          Field{ "prefill", &Placed::mPrefill },
          Field{ "server", &Placed::mServer },
          Field{ "shard", &Placed::mShard },
-         Field{ "delay", &Placed::mDelay });
+         Field{ "delay", &Placed::mDelay },
+         Field{ "limited", &Placed::mIsLimited });
 
 template<>
 inline constexpr auto kFields<CrashReport> =
--- a/packages/core/include/heatherfork/detail/trace/fleet_fields.h
+++ b/packages/core/include/heatherfork/detail/trace/fleet_fields.h
@@ -114,6 +114,24 @@
          Field{ "refused", &ContentReport::mRefused },
          Field{ "alone", &ContentReport::mRanAlone });
 
+template<>
+inline constexpr auto kFields<RequestRate> =
+  Fields("RequestRate",
+         Field{ "per_1000_seconds", &RequestRate::mPer1000Seconds });
+
+template<>
+inline constexpr auto kFields<ServerLimit> =
+  Fields("ServerLimit",
+         Field{ "server", &ServerLimit::mServer },
+         Field{ "started_at", &ServerLimit::mStartedAt },
+         Field{ "is_named", &ServerLimit::mIsNamed },
+         Field{ "rate", &ServerLimit::mRate },
+         Field{ "age", &ServerLimit::mAge });
+
+template<>
+inline constexpr auto kFields<LimitReport> =
+  Fields("LimitReport", Field{ "limits", &LimitReport::mLimits });
+
 template<>
 inline constexpr auto kFields<PublishedNews> =
   Fields("PublishedNews",
--- a/packages/core/include/heatherfork/error.h
+++ b/packages/core/include/heatherfork/error.h
@@ -44,6 +44,7 @@
   kBackendServerBusy = 302,
   kCrashSuspect = 303,
   kCrashingContent = 304,
+  kServerLimit = 305,
   kOutcomeUnknown = 401,
   kBackendServerFailed = 402,
   kStreamBroken = 403,
--- a/packages/core/include/heatherfork/peer_message.h
+++ b/packages/core/include/heatherfork/peer_message.h
@@ -7,6 +7,7 @@
 #include "heatherfork/ids.h"
 #include "heatherfork/member.h"
 #include "heatherfork/request.h"
+#include "heatherfork/server_limit.h"
 #include "heatherfork/time.h"
 
 /// Messages between nodes. The codec is in the peer package.
@@ -54,6 +55,7 @@
     0; ///< `Request::mFingerprint`; equal in a retry.
   /// Equal content was running at a crash; it must not run twice at a time.
   bool mIsSuspect = false;
+  bool mHasBegun = false; ///< Its caller has received events of the stream.
   auto operator<=>(const PlaceRequest&) const = default;
 };
 
@@ -64,7 +66,8 @@
   ServerName mPrefill; ///< Empty for a plain call.
   ServerName mServer;  ///< The decode server or the plain service.
   ShardId mShard;
-  Duration mDelay{}; ///< Predicted wait for a place in the shard.
+  Duration mDelay{};       ///< Predicted wait for a place in the shard.
+  bool mIsLimited = false; ///< A chosen server has named a limit.
   auto operator<=>(const Placed&) const = default;
 };
 
@@ -249,6 +252,13 @@
   auto operator<=>(const ContentReport&) const = default;
 };
 
+/// Limits that the sender has heard from servers.
+struct LimitReport
+{
+  std::vector<ServerLimit> mLimits;
+  auto operator<=>(const LimitReport&) const = default;
+};
+
 /// A running placement, made by any scheduler.
 struct PlacementKept
 {
@@ -326,6 +336,7 @@
                                  PublishedReply,
                                  PlacementsKept,
                                  PublishedNews,
-                                 ContentReport>;
+                                 ContentReport,
+                                 LimitReport>;
 
 } // namespace heatherfork
--- a/packages/core/include/heatherfork/relay_effect.h
+++ b/packages/core/include/heatherfork/relay_effect.h
@@ -32,6 +32,7 @@
   Address mKvHolder;          ///< Replica with the KV cache, for kDecode.
   std::string mCacheId;
   std::string mResumeAfter; ///< Id of an event; empty: from the start.
+  bool mIsLimited = false;  ///< Report an answer that names no limit, too.
   auto operator<=>(const StartCall&) const = default;
 };
 
--- a/packages/core/include/heatherfork/relay_event.h
+++ b/packages/core/include/heatherfork/relay_event.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <variant>
 
 #include "heatherfork/event.h"
 #include "heatherfork/routing.h"
+#include "heatherfork/server_limit.h"
 
 /// Events of the relay of opaque requests.
 namespace heatherfork {
@@ -49,6 +51,15 @@
   auto operator<=>(const RelayCallSilence&) const = default;
 };
 
+/// The head of an answer names a limit of its replica, or no valid one.
+struct RelayLimitSeen
+{
+  RelayCallId mCall;
+  std::optional<RequestRate> mRate;
+  bool mIsMalformed = false;
+  auto operator<=>(const RelayLimitSeen&) const = default;
+};
+
 /// How a call to a replica ended.
 enum class RelayResult : std::uint8_t
 {
@@ -107,6 +118,7 @@
                                     RelayCallerDisconnected,
                                     RelayStreamStarted,
                                     RelayCallSilence,
+                                    RelayLimitSeen,
                                     RelayCallEnded,
                                     ServerChecked,
                                     RoutingRead,
--- a/packages/core/include/heatherfork/relay_reducer.h
+++ b/packages/core/include/heatherfork/relay_reducer.h
@@ -6,6 +6,7 @@
 #include "heatherfork/relay_effect.h"
 #include "heatherfork/relay_event.h"
 #include "heatherfork/relay_settings.h"
+#include "heatherfork/server_limit.h"
 
 /// Decides how opaque requests are handled.
 namespace heatherfork {
@@ -17,6 +18,7 @@
   std::size_t mReplicas = 0;
   std::size_t mOpenRequests = 0;
   bool mLeaving = false;
+  std::vector<ServerLimit> mLimits; ///< In force, as this node heard them.
 
   /// Whether this node accepts callers.
   bool IsReady() const
--- a/packages/core/src/error.cpp
+++ b/packages/core/src/error.cpp
@@ -55,6 +55,7 @@
              "crashing-content",
              503,
              Outcome::kNotRun },
+  ErrorInfo{ ErrorCode::kServerLimit, "server-limit", 503, Outcome::kNotRun },
   ErrorInfo{ ErrorCode::kOutcomeUnknown,
              "outcome-unknown",
              502,
--- a/packages/core/src/reducer.cpp
+++ b/packages/core/src/reducer.cpp
@@ -109,7 +109,8 @@
                            std::is_same_v<Body, PublishedReply> ||
                            std::is_same_v<Body, PlacementsKept> ||
                            std::is_same_v<Body, PublishedNews> ||
-                           std::is_same_v<Body, ContentReport>) {
+                           std::is_same_v<Body, ContentReport> ||
+                           std::is_same_v<Body, LimitReport>) {
         // Handled by the relay only.
       } else {
         mRequests.On(aContext, aFrom, aBody);
--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -94,6 +94,7 @@
   call.mAddress = replica->mAddress;
   aRequest.mCalledReplica = *replica;
   call.mDeadline = aRequest.mExpiresAt;
+  call.mIsLimited = aRequest.mPlacement.mPlaced.mIsLimited;
   call.mIsStream = route.mIsStream && aStage != RelayStage::kPrefill;
   const bool canRepeat = route.mRepeat == RepeatRule::kMayRepeat;
   call.mNeedsNewConnection = !canRepeat && aStage != RelayStage::kPrefill;
@@ -146,6 +147,29 @@
                 "server=" + request->mPlacement.mPlaced.mServer.mValue);
 }
 
+void
+RelayRequests::On(RelayContext& aContext, const RelayLimitSeen& aEvent)
+{
+  OpenRequest* request = FindByCall(aEvent.mCall);
+  if (request == nullptr || request->mPhase == Phase::kPlacing) {
+    return;
+  }
+  const Replica& replica = request->mCalledReplica;
+  if (aEvent.mIsMalformed) {
+    mLimits.OnMalformed(aContext, replica);
+  }
+  if (!mLimits.OnAnswer(aContext, replica, aEvent.mRate)) {
+    return;
+  }
+  PlaceRequest place =
+    MakePlaceRequest(aContext, *request, request->mPlacement);
+  const NodeId scheduler =
+    mShards.SchedulerForServer(aContext.mShared, place, replica.mName);
+  if (scheduler.mIncarnation != 0) {
+    mLimits.Report(aContext, scheduler);
+  }
+}
+
 void
 RelayRequests::On(RelayContext& aContext, const RelayCallEnded& aEvent)
 {
@@ -359,10 +383,13 @@
 void
 RelayRequests::ReleaseKv(RelayContext& aContext, OpenRequest& aRequest)
 {
-  if (!aRequest.mCacheId.empty()) {
+  // The call would count for the limit of a replica, and the cache lapses by
+  // itself.
+  const bool isLimited = aRequest.mPlacement.mPlaced.mIsLimited;
+  if (!aRequest.mCacheId.empty() && !isLimited) {
     aContext.Emit(FreeKv{ aRequest.mKvHolder, aRequest.mCacheId });
-    aRequest.mCacheId.clear();
   }
+  aRequest.mCacheId.clear();
 }
 
 } // namespace heatherfork::detail
--- a/packages/core/src/relay/relay_places.cpp
+++ b/packages/core/src/relay/relay_places.cpp
@@ -92,6 +92,7 @@
   place.mShard = aPlacement.mShard;
   place.mContentFingerprint = aRequest.mRequest.mFingerprint;
   place.mIsSuspect = aPlacement.mIsSuspect;
+  place.mHasBegun = aRequest.mHasSentEvents;
   // A request that was already sent to a replica is not refused for a lack of
   // capacity before its target.
   place.mMayWait = aRequest.mCalls > 0;
@@ -145,6 +146,8 @@
     aPlacement.mScheduler = self;
   }
   mSchedulerUsedAt[aPlacement.mScheduler] = aContext.Now();
+  // Before the request, so that a new scheduler knows the limits first.
+  mLimits.Report(aContext, aPlacement.mScheduler);
   aContext.mShared.Send(aPlacement.mScheduler, std::move(place));
   return true;
 }
@@ -358,16 +361,18 @@
     return;
   }
   const bool mayHaveRun = request->mPossibleRuns > 0;
-  Refuse(
-    aContext,
-    *request,
-    mayHaveRun
-      ? Error{ ErrorCode::kOutcomeUnknown,
-               "no place for another attempt: " + aRefused.mError.mMessage }
-      : Error{ ErrorCode::kBackendServerBusy, aRefused.mError.mMessage },
-    mayHaveRun
-      ? Duration{}
-      : RetryAfter(aRefused.mDelay, request->mExpiresAt - aContext.Now()));
+  Refuse(aContext,
+         *request,
+         mayHaveRun ? Error{ ErrorCode::kOutcomeUnknown,
+                             "no place for another attempt: " +
+                               aRefused.mError.mMessage }
+                    : Error{ aRefused.mError.mCode == ErrorCode::kServerLimit
+                               ? ErrorCode::kServerLimit
+                               : ErrorCode::kBackendServerBusy,
+                             aRefused.mError.mMessage },
+         mayHaveRun
+           ? Duration{}
+           : RetryAfter(aRefused.mDelay, request->mExpiresAt - aContext.Now()));
 }
 
 void
@@ -398,6 +403,7 @@
 RelayRequests::OnNodeGone(RelayContext& aContext, const NodeId& aNode)
 {
   DropSuccessorsOf(aContext, aNode);
+  mLimits.OnNodeGone(aNode);
   std::vector<CallerId> unplaced;
   for (auto& [caller, request] : mOpen) {
     if (request.mPlacement.mScheduler != aNode) {
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -74,6 +74,7 @@
   bool mIsLeaving = false;
   bool mHasExited = false;
   Instant mLeavingSince{};
+  Instant mNow{}; ///< Of the last event.
 };
 
 RelayReducer::State::State(NodeSettings aNode, RelaySettings aRelaySettings)
@@ -138,6 +139,13 @@
     mScheduler.AdoptPlacements(shared, aFrom, *kept);
     return;
   }
+  if (auto* limits = std::get_if<LimitReport>(&aMessage)) {
+    // The scheduler knows replicas by their names alone.
+    std::erase_if(limits->mLimits, [this](const ServerLimit& aLimit) {
+      const Replica* replica = FindReplica(mReplicas, aLimit.mServer);
+      return replica == nullptr || replica->mStartedAt != aLimit.mStartedAt;
+    });
+  }
   std::visit(
     [&](const auto& aBody) {
       if constexpr (requires { mMembership.On(shared, aFrom, aBody); }) {
@@ -261,7 +269,14 @@
         RelayLogEntry{ "replica-gone", "", "server=" + replica.mName.mValue });
     }
   }
+  for (const Replica& replica : mReplicas) {
+    const Replica* now = FindReplica(current, replica.mName);
+    if (now == nullptr || now->mStartedAt != replica.mStartedAt) {
+      mScheduler.ForgetLimit(replica.mName);
+    }
+  }
   mReplicas = current;
+  mRequests.OnReplicas(mReplicas);
   RebuildConfiguration(aContext);
 }
 
@@ -391,6 +406,7 @@
 RelayEffects
 RelayReducer::Reduce(const RelayEvent& aEvent)
 {
+  mState->mNow = aEvent.mAt;
   Effects shared;
   RelayEffects effects;
   Context context{ mState->mSettings,      aEvent.mAt,
@@ -421,6 +437,7 @@
   view.mReplicas = mState->mReplicas.size();
   view.mOpenRequests = mState->mRequests.Size();
   view.mLeaving = mState->mIsLeaving;
+  view.mLimits = mState->mRequests.Limits().All(mState->mNow);
   return view;
 }
 
--- a/packages/core/src/scheduling/dispatch_pass.cpp
+++ b/packages/core/src/scheduling/dispatch_pass.cpp
@@ -44,10 +44,12 @@
                            const TimeModel& aModel,
                            const PrefixHints& aHints,
                            const SchedulingSettings& aSettings,
+                           double aLimitShare,
                            Instant aNow)
   : mModel(aModel)
   , mHints(aHints)
   , mSettings(aSettings)
+  , mLimitShare(aLimitShare)
   , mNow(aNow)
 {
   for (const ServerStatePtr& server : aServers) {
@@ -66,12 +68,14 @@
   }
   const std::size_t zone = ZoneIndex(server.mZone);
   const double remembered = aServer->RememberedSlowness(mNow, mSettings);
+  const int allowed = aServer->Limiter().Available(mNow, mLimitShare);
   if (server.mRole == Role::kPrefill) {
     mPrefill.push_back({ &aServer,
                          aServer->FreeAt(mNow, mSettings),
                          aServer->CurrentSlowness(mNow, mSettings),
                          remembered,
-                         zone });
+                         zone,
+                         allowed });
     return;
   }
   mDecode.push_back({ &aServer,
@@ -80,7 +84,8 @@
                       remembered,
                       false,
                       aServer->CanProbe(mNow, mSettings),
-                      zone });
+                      zone,
+                      allowed });
 }
 
 // Ejects the slowest servers, which then receive only probes. The number is
@@ -147,7 +152,7 @@
                           Lane aLane,
                           int aPieces) const
 {
-  if (aView.mFreePieces < aPieces) {
+  if (aView.mFreePieces < aPieces || aView.mRequestsAllowed <= 0) {
     return false;
   }
   if (aView.mIsEjected) {
@@ -203,7 +208,7 @@
   ServerPair best;
   bool isBestInTime = false;
   for (const PrefillView& prefill : mPrefill) {
-    if (IsExcluded(**prefill.mState, place)) {
+    if (IsExcluded(**prefill.mState, place) || prefill.mRequestsAllowed <= 0) {
       continue;
     }
     const ServerPair pair = BestPairFor(prefill,
@@ -296,11 +301,13 @@
   for (PrefillView& view : mPrefill) {
     if (*view.mState == aChoice.mPrefill) {
       view.mFreeAt += Scaled(aChoice.mWork, view.mSlowness);
+      --view.mRequestsAllowed;
     }
   }
   for (DecodeView& view : mDecode) {
     if (*view.mState == aChoice.mServer) {
       ++view.mRunning;
+      --view.mRequestsAllowed;
       view.mFreePieces -= aPieces;
       view.mCanProbe = false;
     }
--- a/packages/core/src/scheduling/placement.cpp
+++ b/packages/core/src/scheduling/placement.cpp
@@ -26,13 +26,17 @@
 }
 
 Placed
-Placement::Reply(const ShardId& aShard, Duration aDelay) const
+Placement::Reply(const ShardId& aShard, Duration aDelay, Instant aNow) const
 {
+  const auto isLimited = [aNow](const ServerStatePtr& aServer) {
+    return aServer != nullptr && aServer->Limiter().RateAt(aNow, 1).has_value();
+  };
   return Placed{ mRequest.mAttempt,
                  mPrefill == nullptr ? ServerName{} : mPrefill->Server().mName,
                  mServer->Server().mName,
                  aShard,
-                 aDelay };
+                 aDelay,
+                 isLimited(mPrefill) || isLimited(mServer) };
 }
 
 void
--- a/packages/core/src/scheduling/predictive_scheduler.cpp
+++ b/packages/core/src/scheduling/predictive_scheduler.cpp
@@ -22,6 +22,15 @@
     // A shard missing from the new configuration keeps its id but has no
     // servers: running placements complete and queued requests are refused.
     scheduler->Configure(aContext, shard != nullptr ? *shard : Shard{ id, {} });
+    ApplyLimits(aContext, *scheduler);
+  }
+}
+
+void
+PredictiveScheduler::ApplyLimits(Context& aContext, ShardScheduler& aScheduler)
+{
+  for (const auto& [server, limit] : mLimits) {
+    aScheduler.SetLimit(aContext, server, limit.mRate);
   }
 }
 
@@ -53,6 +62,7 @@
           ReportReceived{ report->first, report->second });
       }
     }
+    ApplyLimits(aContext, *scheduler);
   }
   return *scheduler;
 }
@@ -175,6 +185,36 @@
   }
 }
 
+void
+PredictiveScheduler::On(Context& aContext,
+                        const NodeId&,
+                        const LimitReport& aReport)
+{
+  for (const ServerLimit& limit : aReport.mLimits) {
+    const Instant heardAt = aContext.mNow - limit.mAge;
+    const auto [it, isNew] = mLimits.try_emplace(limit.mServer);
+    if (!isNew && heardAt < it->second.mHeardAt) {
+      continue;
+    }
+    it->second.mHeardAt = heardAt;
+    it->second.mRate =
+      limit.mIsNamed ? std::optional(limit.mRate) : std::nullopt;
+    for (const auto& [id, scheduler] : mShards) {
+      scheduler->SetLimit(aContext, limit.mServer, it->second.mRate);
+    }
+  }
+}
+
+void
+PredictiveScheduler::ForgetLimit(const ServerName& aServer)
+{
+  if (mLimits.erase(aServer) > 0) {
+    for (const auto& [id, scheduler] : mShards) {
+      scheduler->ForgetLimit(aServer);
+    }
+  }
+}
+
 void
 PredictiveScheduler::OnNodeGone(Context& aContext, const NodeId& aNode)
 {
--- a/packages/core/src/scheduling/shard_dispatch.cpp
+++ b/packages/core/src/scheduling/shard_dispatch.cpp
@@ -1,5 +1,7 @@
 #include "heatherfork/detail/scheduling/shard_scheduler.h"
 
+#include <algorithm>
+
 namespace heatherfork::detail {
 
 namespace {
@@ -35,7 +37,8 @@
       keys.push_back(key);
     }
   }
-  DispatchPass pass(mServers, mModel, mHints, settings, aContext.mNow);
+  DispatchPass pass(
+    mServers, mModel, mHints, settings, LimitShare(aContext), aContext.mNow);
   int ahead = 0;
   for (const WaitQueue::Key& key : keys) {
     const DispatchResult result = TryDispatch(aContext, pass, key, ahead);
@@ -60,20 +63,33 @@
   const int pieces = PiecesNeeded(request.mPlace);
   const Choice choice = aPass.Find(request, aKey.mLane, pieces);
   const bool hasCapacity = choice.mServer != nullptr;
+  const std::optional<LimitedWait> limited =
+    hasCapacity ? std::nullopt : WaitForLimits(aContext, request.mPlace);
+  const Duration wait = limited ? limited->For(aRequestsAhead)
+                                : (aRequestsAhead + 1) * mReleaseInterval;
   const Instant firstTokenAt =
     hasCapacity
       ? choice.mFirstTokenAt
-      : aContext.mNow + (aRequestsAhead + 1) * mReleaseInterval +
-          mModel.Prefill(request.mPlace.mPromptTokens) +
+      : aContext.mNow + wait + mModel.Prefill(request.mPlace.mPromptTokens) +
           mModel.Transfer(request.mPlace.mPromptTokens) + mModel.FirstStep(1);
   const bool isLate = firstTokenAt > request.mTargetAt;
   const bool canStartBeforeTarget =
     hasCapacity && choice.mStartAt <= request.mTargetAt;
-  if (isLate && !canStartBeforeTarget && CanRefuseWithRetry(aKey, request)) {
-    RefuseWithRetry(aContext, aKey);
+  const Duration left = request.mPlace.mDeadline - aContext.mNow;
+  const bool isHopeless = limited && wait > left / 2 &&
+                          request.mPlace.mTarget > Duration{} &&
+                          !request.mIsUrgent;
+  if (isHopeless ||
+      (isLate && !canStartBeforeTarget && CanRefuseWithRetry(aKey, request))) {
+    RefuseWithRetry(aContext, aKey, limited);
     return DispatchResult::kMovedOrRefused;
   }
-  if (settings.mUseTargets && isLate && TryDemote(aKey, request)) {
+  // Behind the requests that are in time, it would not get within the limits
+  // again.
+  const bool hasLimit =
+    hasCapacity &&
+    choice.mServer->Limiter().RateAt(aContext.mNow, 1).has_value();
+  if (settings.mUseTargets && isLate && !hasLimit && TryDemote(aKey, request)) {
     return DispatchResult::kMovedOrRefused;
   }
   if (!hasCapacity) {
@@ -95,7 +111,7 @@
 {
   if (aRequest.mTargetAt <= aContext.mNow &&
       CanRefuseWithRetry(aKey, aRequest)) {
-    RefuseWithRetry(aContext, aKey);
+    RefuseWithRetry(aContext, aKey, std::nullopt);
     return DispatchResult::kMovedOrRefused;
   }
   return DispatchResult::kWaitsForSuspect;
@@ -107,26 +123,105 @@
 ShardScheduler::CanRefuseWithRetry(const WaitQueue::Key& aKey,
                                    const QueuedRequest& aRequest) const
 {
-  return aKey.mLane == Lane::kInTime && aRequest.mPlace.mTarget > Duration{};
+  return aKey.mLane == Lane::kInTime && aRequest.mPlace.mTarget > Duration{} &&
+         !aRequest.mIsUrgent;
 }
 
 void
-ShardScheduler::RefuseWithRetry(Context& aContext, const WaitQueue::Key& aKey)
+ShardScheduler::RefuseWithRetry(Context& aContext,
+                                const WaitQueue::Key& aKey,
+                                const std::optional<LimitedWait>& aLimited)
 {
   const QueuedRequest request = mQueue.Take(aKey);
   const PlaceRequest& place = request.mPlace;
   const Duration left = place.mDeadline - aContext.mNow;
-  const Duration wait = mRetryPacer.AssignDelay(aContext.mNow,
-                                                place.mContentFingerprint,
-                                                mReleaseInterval,
-                                                left / kRetryDelayDivisor);
+  const Duration wait =
+    mRetryPacer.AssignDelay(aContext.mNow,
+                            place.mContentFingerprint,
+                            aLimited ? aLimited->mInterval : mReleaseInterval,
+                            left / kRetryDelayDivisor);
   aContext.Send(request.mFrom,
-                PlacementRefused{ place.mAttempt,
-                                  Error{ ErrorCode::kQueueFull,
-                                         "expected a place in time for the "
-                                         "target, found none" },
-                                  mId,
-                                  wait });
+                PlacementRefused{
+                  place.mAttempt,
+                  aLimited
+                    ? Error{ ErrorCode::kServerLimit,
+                             "expected a place within the limits that the "
+                             "servers name, found none in time" }
+                    : Error{ ErrorCode::kQueueFull,
+                             "expected a place in time for the target, found "
+                             "none" },
+                  mId,
+                  wait });
+}
+
+double
+ShardScheduler::LimitShare(const Context& aContext)
+{
+  if (aContext.mMembersNumber != 0 &&
+      mShareMembers == aContext.mMembersNumber) {
+    return mLimitShare;
+  }
+  mShareMembers = aContext.mMembersNumber;
+  const NodeId scheduler =
+    SchedulerOf(Shard{ mId, mKey, nullptr, {} }, aContext.mMembers);
+  const auto alive = std::count_if(
+    aContext.mMembers.begin(), aContext.mMembers.end(), [](const Member& aOne) {
+      return aOne.mStatus == MemberStatus::kAlive;
+    });
+  const bool isOwn =
+    scheduler.mIncarnation == 0 || scheduler == aContext.mSettings.mSelf;
+  mLimitShare = isOwn || alive == 0 ? 1 : 1 / static_cast<double>(alive);
+  return mLimitShare;
+}
+
+std::optional<ShardScheduler::LimitedWait>
+ShardScheduler::WaitForLimits(const Context& aContext,
+                              const PlaceRequest& aPlace)
+{
+  if (aPlace.mKind == RequestKind::kPlainCall) {
+    return WaitForLimits(aContext, aPlace, Role::kPlain);
+  }
+  const auto prefill = WaitForLimits(aContext, aPlace, Role::kPrefill);
+  const auto decode = WaitForLimits(aContext, aPlace, Role::kDecode);
+  if (!prefill || !decode) {
+    return prefill ? prefill : decode;
+  }
+  return LimitedWait{ std::max(prefill->mUntilNext, decode->mUntilNext),
+                      std::max(prefill->mInterval, decode->mInterval) };
+}
+
+std::optional<ShardScheduler::LimitedWait>
+ShardScheduler::WaitForLimits(const Context& aContext,
+                              const PlaceRequest& aPlace,
+                              Role aRole)
+{
+  const double share = LimitShare(aContext);
+  std::optional<Duration> untilNext;
+  double sum = 0;
+  for (const ServerStatePtr& state : mServers) {
+    const BackendServer& server = state->Server();
+    const auto& excluded = aPlace.mExcluded;
+    if (server.mRole != aRole || server.mLeaving ||
+        state->IsBlocked(aContext.mNow) ||
+        std::find(excluded.begin(), excluded.end(), server.mName) !=
+          excluded.end()) {
+      continue;
+    }
+    const std::optional<double> rate =
+      state->Limiter().RateAt(aContext.mNow, share);
+    if (!rate) {
+      return std::nullopt;
+    }
+    sum += *rate;
+    const Duration next = state->Limiter().NextIn(aContext.mNow, share);
+    untilNext = untilNext ? std::min(*untilNext, next) : next;
+  }
+  if (!untilNext || *untilNext == Duration{}) {
+    return std::nullopt;
+  }
+  return LimitedWait{ *untilNext,
+                      std::chrono::duration_cast<Duration>(
+                        std::chrono::duration<double>(1 / sum)) };
 }
 
 // Under overload, what becomes free goes to requests that can be in time. One
@@ -148,7 +243,8 @@
     }
   }
   for (const WaitQueue::Key& key : overtaken) {
-    RefuseWithRetry(aContext, key);
+    RefuseWithRetry(
+      aContext, key, WaitForLimits(aContext, mQueue.All().at(key).mPlace));
   }
 }
 
@@ -203,8 +299,15 @@
                       aChoice.mCachedTokens);
   placement.Hold(aContext.mNow, aChoice.mWork);
   aChoice.mServer->RecordProbe(aContext.mNow);
-  aContext.Send(request.mFrom,
-                placement.Reply(mId, PredictedDelay(aContext.mNow)));
+  const double share = LimitShare(aContext);
+  for (const ServerStatePtr& server : { aChoice.mPrefill, aChoice.mServer }) {
+    if (server != nullptr) {
+      server->Limiter().Take(aContext.mNow, share);
+    }
+  }
+  aContext.Send(
+    request.mFrom,
+    placement.Reply(mId, PredictedDelay(aContext.mNow), aContext.mNow));
   mSuspectRuns.OnPlaced(placement.Request());
   mPlacements.emplace(aKey.mAttempt, std::move(placement));
 }
--- a/packages/core/src/scheduling/shard_scheduler.cpp
+++ b/packages/core/src/scheduling/shard_scheduler.cpp
@@ -39,6 +39,7 @@
 ShardScheduler::Configure(Context& aContext, const Shard& aShard)
 {
   mId = aShard.mId;
+  mKey = aShard.mKey;
   mLimits = aContext.mConfiguration->mLimits;
   std::vector<ServerStatePtr> servers;
   for (const BackendServer* server : aShard.mServers) {
@@ -160,7 +161,9 @@
   const auto it = mPlacements.find(aPlace.mAttempt);
   if (it != mPlacements.end()) {
     // Repeated request: the reply was late or lost.
-    aContext.Send(aFrom, it->second.Reply(mId, PredictedDelay(aContext.mNow)));
+    aContext.Send(
+      aFrom,
+      it->second.Reply(mId, PredictedDelay(aContext.mNow), aContext.mNow));
     return;
   }
   if (mQueue.Contains(aPlace.mAttempt)) {
@@ -260,6 +263,9 @@
   request.mArrivedAt = aContext.mNow;
   request.mPlacedBefore = mInTimePlacements;
   request.mTargetAt = std::min(aContext.mNow + target, aPlace.mDeadline);
+  // Requests that are in time take all that limits allow, so a stream that goes
+  // on at another server would wait for them until its caller gives up.
+  request.mIsUrgent = aPlace.mHasBegun && WaitForLimits(aContext, aPlace);
   const auto weight = mWeights.find(aPlace.mWorkspace);
   const double share = weight == mWeights.end() ? 1 : weight->second;
   // Without fairness all costs are zero, so the deadline decides the order.
@@ -270,8 +276,9 @@
   const bool isRetry =
     aPlace.mTarget > Duration{} &&
     mRetryPacer.IsRetry(aContext.mNow, aPlace.mContentFingerprint);
-  const Lane lane =
-    aPlace.mMayWait || isRetry ? Lane::kDeferred : Lane::kInTime;
+  const Lane lane = (aPlace.mMayWait || isRetry) && !request.mIsUrgent
+                      ? Lane::kDeferred
+                      : Lane::kInTime;
   mQueue.Push(lane, std::move(request), cost, share);
 }
 
@@ -356,6 +363,26 @@
   }
 }
 
+void
+ShardScheduler::SetLimit(Context& aContext,
+                         const ServerName& aServer,
+                         const std::optional<RequestRate>& aRate)
+{
+  const ServerStatePtr state = StateOf(aServer);
+  if (state != nullptr) {
+    state->Limiter().Set(aContext.mNow, aRate);
+  }
+}
+
+void
+ShardScheduler::ForgetLimit(const ServerName& aServer)
+{
+  const ServerStatePtr state = StateOf(aServer);
+  if (state != nullptr) {
+    state->Limiter().Reset();
+  }
+}
+
 void
 ShardScheduler::Tick(Context& aContext)
 {
--- a/packages/peer/src/codec/fields.h
+++ b/packages/peer/src/codec/fields.h
@@ -129,7 +129,7 @@
   aConverter(aCore.mIndex, aWire.index);
 }
 
-static_assert(detail::trace::CountFields<PlaceRequest>() == 18);
+static_assert(detail::trace::CountFields<PlaceRequest>() == 19);
 template<class Converter,
          MaybeConst<PlaceRequest> Core,
          MaybeConst<wire::PlaceRequestT> Wire>
@@ -154,9 +154,10 @@
   aConverter(aCore.mTarget, aWire.target);
   aConverter(aCore.mContentFingerprint, aWire.content);
   aConverter(aCore.mIsSuspect, aWire.suspect);
+  aConverter(aCore.mHasBegun, aWire.begun);
 }
 
-static_assert(detail::trace::CountFields<Placed>() == 5);
+static_assert(detail::trace::CountFields<Placed>() == 6);
 template<class Converter,
          MaybeConst<Placed> Core,
          MaybeConst<wire::PlacedT> Wire>
@@ -168,6 +169,7 @@
   aConverter(aCore.mServer, aWire.server);
   aConverter(aCore.mShard, aWire.shard);
   aConverter(aCore.mDelay, aWire.delay);
+  aConverter(aCore.mIsLimited, aWire.limited);
 }
 
 static_assert(detail::trace::CountFields<PlacementRefused>() == 4);
@@ -416,6 +418,30 @@
   aConverter(aCore.mRanAlone, aWire.alone);
 }
 
+static_assert(detail::trace::CountFields<ServerLimit>() == 5);
+template<class Converter,
+         MaybeConst<ServerLimit> Core,
+         MaybeConst<wire::ServerLimitT> Wire>
+void
+MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
+{
+  aConverter(aCore.mServer, aWire.server);
+  aConverter(aCore.mStartedAt, aWire.started_at);
+  aConverter(aCore.mIsNamed, aWire.is_named);
+  aConverter(aCore.mRate.mPer1000Seconds, aWire.rate);
+  aConverter(aCore.mAge, aWire.age);
+}
+
+static_assert(detail::trace::CountFields<LimitReport>() == 1);
+template<class Converter,
+         MaybeConst<LimitReport> Core,
+         MaybeConst<wire::LimitReportT> Wire>
+void
+MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
+{
+  aConverter(aCore.mLimits, aWire.limits);
+}
+
 static_assert(detail::trace::CountFields<PublishedNews>() == 4);
 template<class Converter,
          MaybeConst<PublishedNews> Core,
--- a/packages/peer/src/codec/peer_frame.cpp
+++ b/packages/peer/src/codec/peer_frame.cpp
@@ -49,6 +49,7 @@
 HEATHERFORK_WIRE(PlacementsKept)
 HEATHERFORK_WIRE(PublishedNews)
 HEATHERFORK_WIRE(ContentReport)
+HEATHERFORK_WIRE(LimitReport)
 #undef HEATHERFORK_WIRE
 
 // Limits on the verifier's work, so that a small frame with many references
--- a/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
@@ -26,10 +26,13 @@
 
   void On(const RelayOutcomeMeasured& aMeasured);
 
+  void On(const RefuseCaller& aRefused);
+
   /// Counts a log event. Also counts events whose log lines are dropped.
   void On(const RelayLogEntry& aEntry);
 
   void SetState(const RelayView& aView, const Members& aMembers);
+  void SetLimits(const std::vector<ServerLimit>& aLimits);
   void SetUpdateAge(const std::string& aReader, Duration aAge);
   void SetDroppedLines(std::uint64_t aCount);
 
@@ -40,10 +43,14 @@
   prometheus::Registry mRegistry;
   prometheus::Family<prometheus::Counter>& mOutcomes;
   prometheus::Family<prometheus::Counter>& mEvents;
+  prometheus::Family<prometheus::Counter>& mRefusals;
   prometheus::Family<prometheus::Histogram>& mFirstEvent;
   prometheus::Family<prometheus::Histogram>& mDuration;
   prometheus::Family<prometheus::Gauge>& mMembers;
   prometheus::Family<prometheus::Gauge>& mUpdateAge;
+  prometheus::Family<prometheus::Gauge>& mServerLimits;
+  prometheus::Family<prometheus::Gauge>& mServerLimitAges;
+  std::vector<std::pair<prometheus::Gauge*, prometheus::Gauge*>> mLimits;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mReplicas;
   prometheus::Gauge& mRevision;
--- a/packages/relay/include/heatherfork/relay_wire.h
+++ b/packages/relay/include/heatherfork/relay_wire.h
@@ -26,6 +26,9 @@
   bool mIsNotRun = false;      ///< The request did not and will not run.
   bool mIsMisdirected = false; ///< Another replica now uses the address.
   bool mIsEncoded = false;     ///< Content-encoded, unlike the signed body.
+  /// Requests that the replica takes from all nodes together.
+  std::optional<RequestRate> mLimit;
+  bool mIsLimitMalformed = false;
 };
 
 /// A request to the store; its kind determines the format of the answer.
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -99,6 +99,11 @@
   mReply = aHead;
   mFlags = flags;
   mHasReply = true;
+  const bool namesLimit = flags.mLimit || flags.mIsLimitMalformed;
+  if ((namesLimit || mCall->mIsLimited) && !flags.mIsMisdirected) {
+    mContext.mPost(
+      RelayLimitSeen{ mCall->mCall, flags.mLimit, flags.mIsLimitMalformed });
+  }
   return true;
 }
 
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -38,6 +38,10 @@
               .Name("heatherfork_relay_events_total")
               .Help("Decisions and changes of belief, as in the log.")
               .Register(mRegistry))
+  , mRefusals(prometheus::BuildCounter()
+                .Name("heatherfork_relay_refusals_total")
+                .Help("Errors of this node to callers, by identifier.")
+                .Register(mRegistry))
   , mFirstEvent(prometheus::BuildHistogram()
                   .Name("heatherfork_relay_first_event_seconds")
                   .Help("Time from a request to its stream's first event.")
@@ -54,6 +58,14 @@
                  .Name("heatherfork_store_news_age_seconds")
                  .Help("Since the store or a peer last said what is in force.")
                  .Register(mRegistry))
+  , mServerLimits(prometheus::BuildGauge()
+                    .Name("heatherfork_server_limit_per_second")
+                    .Help("Limits that replicas named in answers to this node.")
+                    .Register(mRegistry))
+  , mServerLimitAges(prometheus::BuildGauge()
+                       .Name("heatherfork_server_limit_age_seconds")
+                       .Help("Since an answer last named the limit.")
+                       .Register(mRegistry))
   , mOpenRequests(prometheus::BuildGauge()
                     .Name("heatherfork_relay_open_requests")
                     .Help("Requests without a last word.")
@@ -100,6 +112,13 @@
   }
 }
 
+void
+RelayMetrics::On(const RefuseCaller& aRefused)
+{
+  const std::string_view identifier = InfoOf(aRefused.mError.mCode).mIdentifier;
+  mRefusals.Add({ { "error", std::string(identifier) } }).Increment();
+}
+
 void
 RelayMetrics::On(const RelayLogEntry& aEntry)
 {
@@ -130,6 +149,25 @@
   mLeaving.Set(aView.mLeaving ? 1 : 0);
 }
 
+void
+RelayMetrics::SetLimits(const std::vector<ServerLimit>& aLimits)
+{
+  for (const auto& [rate, age] : mLimits) {
+    mServerLimits.Remove(rate);
+    mServerLimitAges.Remove(age);
+  }
+  mLimits.clear();
+  for (const ServerLimit& limit : aLimits) {
+    const std::map<std::string, std::string> labels{ { "server",
+                                                       limit.mServer.mValue } };
+    prometheus::Gauge& rate = mServerLimits.Add(labels);
+    prometheus::Gauge& age = mServerLimitAges.Add(labels);
+    rate.Set(limit.mRate.PerSecond());
+    age.Set(ToSeconds(limit.mAge));
+    mLimits.emplace_back(&rate, &age);
+  }
+}
+
 void
 RelayMetrics::SetUpdateAge(const std::string& aReader, Duration aAge)
 {
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -267,6 +267,7 @@
 RelayNode::State::MetricsText()
 {
   mRelayMetrics.SetState(mReducer.View(), mReducer.KnownMembers());
+  mRelayMetrics.SetLimits(mReducer.View().mLimits);
   mRelayMetrics.SetUpdateAge("routing",
                              mStoreWatch.RoutingReader().UpdateAge());
   mRelayMetrics.SetUpdateAge("replicas",
--- a/packages/relay/src/relay_node_calls.cpp
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -176,6 +176,7 @@
 void
 RelayNode::State::On(const RefuseCaller& aEffect)
 {
+  mRelayMetrics.On(aEffect);
   const auto it = mExchanges.find(aEffect.mCaller);
   if (it == mExchanges.end()) {
     return;
--- a/tests/unit-peer-codec.cpp
+++ b/tests/unit-peer-codec.cpp
@@ -111,6 +111,7 @@
     PlacementsKept{ { { FullPlaceRequest(), ServerName{ "s" } } } },
     PublishedNews{ "replicas/", 8, 9, { { "replicas/a", "", 9, true } } },
     ContentReport{ 3, { 1, 2 }, { 4 }, { { 5, Milliseconds(600000) } }, { 2 } },
+    LimitReport{ { { ServerName{ "s" }, 5, true, { 400 }, Milliseconds(7) } } },
   };
 }
 
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -214,3 +214,54 @@
     CHECK_EQUAL(row.mIsEqual, fingerprint(row) == fingerprint(kRows[0]));
   }
 }
+
+TEST(Platform, ReadsLimitsThatServersName)
+{
+  struct Row
+  {
+    std::vector<std::string> mValues;
+    std::optional<std::int64_t> mPer1000Seconds;
+  };
+  const Row kRows[] = {
+    { {}, std::nullopt },
+    { { "8.8" }, 8800 },
+    { { "1" }, 1000 },
+    { { "0.25" }, 250 },
+    { { "0" }, 0 },
+    { { "0.12345" }, 123 },
+    { { "-1" }, std::nullopt },
+    { { "+1" }, std::nullopt },
+    { { "" }, std::nullopt },
+    { { "1e3" }, std::nullopt },
+    { { "inf" }, std::nullopt },
+    { { "nan" }, std::nullopt },
+    { { "1,5" }, std::nullopt },
+    { { "1." }, std::nullopt },
+    { { "." }, std::nullopt },
+    { { "0x10" }, std::nullopt },
+    { { "1.5.2" }, std::nullopt },
+    { { "999999999999999999999" }, std::nullopt },
+    { { "2000000" }, std::nullopt },
+    { { "2", "2" }, std::nullopt },
+    { { "2", "x" }, std::nullopt },
+  };
+  for (const Row& row : kRows) {
+    HttpHead head;
+    head.mStatus = 200;
+    head.mFields = { kId };
+    for (const std::string& value : row.mValues) {
+      head.mFields.push_back({ "Server-Limit", value });
+    }
+    const ResponseFlags flags = kWire.ReadReply(head, "r1");
+    const std::string name = row.mValues.empty() ? "none" : row.mValues[0];
+    CHECK_TEXT(row.mPer1000Seconds.has_value() == flags.mLimit.has_value(),
+               name.c_str());
+    CHECK_EQUAL_TEXT(!row.mValues.empty() && !row.mPer1000Seconds,
+                     flags.mIsLimitMalformed,
+                     name.c_str());
+    if (flags.mLimit) {
+      CHECK_EQUAL(*row.mPer1000Seconds, flags.mLimit->mPer1000Seconds);
+    }
+    CHECK(flags.mIsForRequest);
+  }
+}
