The share of a limit is worked out only where a server has named one

Change: without a limit the share is one. Result: unit-server-limiter and unit-scheduler pass; the cost was not measured.

--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -150,7 +150,8 @@
   SuspectRuns mSuspectRuns;
   int mMostPieces = 0; ///< Of one decode server; 0 if not published.
   RetryPacer mRetryPacer;
-  double mLimitShare = 1; ///< At mShareMembers.
+  bool mHasLimits = false; ///< A server has named one.
+  double mLimitShare = 1;  ///< At mShareMembers.
   std::uint64_t mShareMembers = 0;
   std::uint64_t mInTimePlacements = 0;
   Instant mLastReleaseAt{};
--- a/packages/core/src/scheduling/shard_dispatch.cpp
+++ b/packages/core/src/scheduling/shard_dispatch.cpp
@@ -157,8 +157,9 @@
 double
 ShardScheduler::LimitShare(const Context& aContext)
 {
-  if (aContext.mMembersNumber != 0 &&
-      mShareMembers == aContext.mMembersNumber) {
+  const bool isCurrent =
+    aContext.mMembersNumber != 0 && mShareMembers == aContext.mMembersNumber;
+  if (!mHasLimits || isCurrent) {
     return mLimitShare;
   }
   mShareMembers = aContext.mMembersNumber;
--- a/packages/core/src/scheduling/shard_scheduler.cpp
+++ b/packages/core/src/scheduling/shard_scheduler.cpp
@@ -370,6 +370,7 @@
 {
   const ServerStatePtr state = StateOf(aServer);
   if (state != nullptr) {
+    mHasLimits = true;
     state->Limiter().Set(aContext.mNow, aRate);
   }
 }
