--- a/tests/unit-server-limiter.cpp
+++ b/tests/unit-server-limiter.cpp
@@ -234,3 +234,38 @@
   }
   CHECK_EQUAL(1, lines);
 }
+
+// Requests that are in time take all that the limits allow.
+TEST(ServerLimiter, BegunStreamGoesOnBeforeNewRequests)
+{
+  SingleRelayNode node;
+  node.SendRequest("/resumable/x");
+  const CallerId caller = node.mCaller;
+  node.EndLatestCall(RelayResult::kDone, 200);
+  node.Step(RelayStreamStarted{ node.LatestCall()->mCall });
+  LimitReport report;
+  for (const char* name : { "d1", "d2" }) {
+    report.mLimits.push_back(
+      { ServerName{ name }, 0, true, PerSecond(1), Duration{} });
+  }
+  node.Step(PeerReceived{ { NodeName{ "c" }, 2 }, report });
+  RelayCallEnded broken;
+  broken.mCall = node.LatestCall()->mCall;
+  broken.mResult = RelayResult::kBroken;
+  broken.mEvents = 2;
+  broken.mLastEvent = "2";
+  node.Step(broken, Milliseconds(300));
+  CHECK(node.Find<StartCall>() == nullptr);
+  CHECK(node.Find<BreakStream>() == nullptr);
+  for (int n = 0; n < 3; ++n) {
+    node.SendRequest("/stream/x");
+    CHECK(node.Find<StartCall>() == nullptr);
+  }
+  node.Step(TimerFired{}, Milliseconds(800));
+  const auto* call = node.Find<StartCall>();
+  CHECK(call != nullptr);
+  CHECK_EQUAL(caller, call->mCall.mCaller);
+  node.EndLatestCall(RelayResult::kDone, 200);
+  CHECK(node.LatestCall()->mStage == RelayStage::kDecode);
+  STRCMP_EQUAL("2", node.LatestCall()->mResumeAfter.c_str());
+}
