--- a/tests/unit-server-limiter.cpp
+++ b/tests/unit-server-limiter.cpp
@@ -1,6 +1,7 @@
 #include "heatherfork/detail/scheduling/server_limiter.h"
 #include "single_relay_node.h"
 
+#include <functional>
 #include <set>
 
 #include <CppUTest/TestHarness.h>
@@ -269,3 +270,50 @@
   CHECK(node.LatestCall()->mStage == RelayStage::kDecode);
   STRCMP_EQUAL("2", node.LatestCall()->mResumeAfter.c_str());
 }
+
+// Other nodes may stand in for the same scheduler at the same time.
+TEST(ServerLimiter, NodeThatStandsInForASchedulerUsesItsPartOnly)
+{
+  for (const bool isCutOff : { false, true }) {
+    SingleRelayNode node;
+    const NodeId scheduler{ NodeName{ "b" }, 2 };
+    if (isCutOff) {
+      node.AddNodes({ "b" });
+      node.SendRequest("/often/x");
+      CHECK(node.Find<StartCall>() == nullptr);
+      node.Step(PeerLost{ scheduler });
+      node.Step(PeerLost{ scheduler });
+      CHECK(node.Find<StartCall>() != nullptr);
+      node.EndLatestCall(RelayResult::kDone, 200);
+    }
+    std::set<ServerName> limited;
+    while (limited.size() < 2) {
+      node.SendRequest("/often/x");
+      limited.insert(node.LatestCall()->mServer);
+      EndWithLimit(node, PerSecond(10));
+    }
+    int sent = 0;
+    const std::function<void()> answerAll = [&] {
+      for (const RelayEffect& effect : RelayEffects(node.mLastEffects)) {
+        if (const auto* call = std::get_if<StartCall>(&effect)) {
+          ++sent;
+          RelayCallEnded done;
+          done.mCall = call->mCall;
+          done.mResult = RelayResult::kDone;
+          done.mStatus = 200;
+          node.Step(done);
+          answerAll();
+        }
+      }
+    };
+    for (int n = 0; n < 26; ++n) {
+      node.Step(TimerFired{}, Milliseconds(19));
+      answerAll();
+      node.SendRequest("/often/x");
+      answerAll();
+    }
+    // 20 a second, or half of it, for half a second.
+    CHECK(sent <= (isCutOff ? 7 : 14));
+    CHECK(sent >= (isCutOff ? 3 : 8));
+  }
+}
