--- a/packages/peer/src/codec/peer_frame.cpp
+++ b/packages/peer/src/codec/peer_frame.cpp
@@ -1,5 +1,6 @@
 #include "heatherfork/peer_frame.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <absl/status/status.h>
@@ -57,6 +58,54 @@
 constexpr int kMaxVerifierDepth = 8;
 constexpr int kMaxVerifierTables = 200000;
 
+bool
+IsAligned(const flatbuffers::Vector<std::uint64_t>* aVector)
+{
+  return aVector == nullptr ||
+         reinterpret_cast<std::uintptr_t>(aVector->Data()) %
+             alignof(std::uint64_t) ==
+           0;
+}
+
+// The verifier checks the alignment of a vector's length, not of its elements.
+template<class Table>
+bool
+HasAlignedVectors(const Table& /*aTable*/)
+{
+  return true;
+}
+
+bool
+HasAlignedVectors(const wire::PlaceRequest& aTable)
+{
+  return IsAligned(aTable.prefixes());
+}
+
+bool
+HasAlignedVectors(const wire::PlacementsKept& aTable)
+{
+  if (aTable.kept() == nullptr) {
+    return true;
+  }
+  return std::all_of(
+    aTable.kept()->begin(), aTable.kept()->end(), [](const auto* aKept) {
+      return aKept->place() == nullptr || HasAlignedVectors(*aKept->place());
+    });
+}
+
+bool
+HasAlignedVectors(const wire::SyncRequest& aTable)
+{
+  return IsAligned(aTable.buckets());
+}
+
+bool
+HasAlignedVectors(const wire::ContentReport& aTable)
+{
+  return IsAligned(aTable.suspects()) && IsAligned(aTable.sound()) &&
+         IsAligned(aTable.alone());
+}
+
 template<class Core>
 bool
 DecodeBodyAs(const wire::Frame& aFrame, PeerMessage& aMessage)
@@ -67,6 +116,9 @@
   if (!table) {
     return true;
   }
+  if (!HasAlignedVectors(*table)) {
+    return false;
+  }
   Wire unpacked;
   table->UnPackTo(&unpacked);
   FromWire converter;
