Revisions of the store are compared within one era

Cause: revisions order one history of the store, and were compared across two: a watch went on from a revision that was given out again, a peer's old copy counted as newer, and entries missing in the copy counted as gone.

Change: the era, decoded once in platform/, goes with each revision between nodes and in each merge. Answers that continue from another state are read anew, a page whose first page was replaced among them. A rise of the era keeps missing entries like an outage does.

--- a/packages/core/include/heatherfork/detail/relay/replica_registry.h
+++ b/packages/core/include/heatherfork/detail/relay/replica_registry.h
@@ -9,12 +9,14 @@
 namespace heatherfork::detail {
 
 /// Replica entries expire during an outage of the store, although the replicas
-/// are alive, and are written again soon after it. An entry that vanishes
-/// around an outage is retained until then.
+/// are alive, or are lost when it goes back to an earlier state, and are
+/// written again soon after it. An entry that vanishes around either is
+/// retained until then.
 class ReplicaRegistry
 {
 public:
   void OnStoreReachability(Instant aNow, bool aIsReachable);
+  void OnStoreWentBack(Instant aNow);
 
   /// Replaces the published replicas.
   void OnPublished(Instant aNow, Replicas aPublished);
@@ -36,6 +38,7 @@
   bool mIsStoreReachable = false;
   bool mWasStoreLost = false; ///< The store has been unreachable once.
   Instant mStoreReachableSince{};
+  Instant mUnreliableUntil{}; ///< After the store went back.
 };
 
 } // namespace heatherfork::detail
--- a/packages/core/include/heatherfork/detail/trace/fleet_fields.h
+++ b/packages/core/include/heatherfork/detail/trace/fleet_fields.h
@@ -138,20 +138,23 @@
          Field{ "prefix", &PublishedNews::mPrefix },
          Field{ "from", &PublishedNews::mFrom },
          Field{ "at", &PublishedNews::mAt },
-         Field{ "items", &PublishedNews::mItems });
+         Field{ "items", &PublishedNews::mItems },
+         Field{ "era", &PublishedNews::mEra });
 
 template<>
 inline constexpr auto kFields<PublishedRequest> =
   Fields("PublishedRequest",
          Field{ "prefix", &PublishedRequest::mPrefix },
-         Field{ "have", &PublishedRequest::mKnownRevision });
+         Field{ "have", &PublishedRequest::mKnownRevision },
+         Field{ "era", &PublishedRequest::mKnownEra });
 
 template<>
 inline constexpr auto kFields<PublishedReply> =
   Fields("PublishedReply",
          Field{ "prefix", &PublishedReply::mPrefix },
          Field{ "at", &PublishedReply::mAt },
-         Field{ "items", &PublishedReply::mItems });
+         Field{ "items", &PublishedReply::mItems },
+         Field{ "era", &PublishedReply::mEra });
 
 template<>
 inline constexpr auto kFields<VmRecord> =
--- a/packages/core/include/heatherfork/peer_message.h
+++ b/packages/core/include/heatherfork/peer_message.h
@@ -291,6 +291,7 @@
 {
   std::string mPrefix;
   Revision mKnownRevision = 0; ///< The store revision that the sender has.
+  StoreEra mKnownEra = 0;
   auto operator<=>(const PublishedRequest&) const = default;
 };
 
@@ -300,6 +301,7 @@
   std::string mPrefix;
   Revision mAt = 0;
   std::vector<PublishedItem> mItems;
+  StoreEra mEra = 0;
   auto operator<=>(const PublishedReply&) const = default;
 };
 
@@ -310,6 +312,7 @@
   Revision mFrom = 0; ///< Changes after this revision,
   Revision mAt = 0;   ///< up to this revision.
   std::vector<PublishedItem> mItems;
+  StoreEra mEra = 0;
   auto operator<=>(const PublishedNews&) const = default;
 };
 
--- a/packages/core/include/heatherfork/relay_event.h
+++ b/packages/core/include/heatherfork/relay_event.h
@@ -114,6 +114,13 @@
   auto operator<=>(const StoreReachabilityChanged&) const = default;
 };
 
+/// The store went back to an earlier state: entries may be missing until their
+/// replicas write them again.
+struct StoreWentBack
+{
+  auto operator<=>(const StoreWentBack&) const = default;
+};
+
 using RelayEventBody = std::variant<RelayRequestArrived,
                                     RelayCallerDisconnected,
                                     RelayStreamStarted,
@@ -124,6 +131,7 @@
                                     RoutingRead,
                                     ReplicasRead,
                                     StoreReachabilityChanged,
+                                    StoreWentBack,
                                     PeerReceived,
                                     PeerLost,
                                     TimerFired,
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -44,6 +44,7 @@
   void On(RelayContext& aContext, const RoutingRead& aEvent);
   void On(RelayContext& aContext, const ReplicasRead& aEvent);
   void On(RelayContext& aContext, const StoreReachabilityChanged& aEvent);
+  void On(RelayContext& aContext, const StoreWentBack& aEvent);
   void On(RelayContext& aContext, const PeerReceived& aEvent);
   void On(RelayContext& aContext, const PeerLost& aEvent);
   void On(RelayContext& aContext, const TimerFired& aEvent);
@@ -241,6 +242,12 @@
   mReplicaRegistry.OnStoreReachability(aContext.Now(), aEvent.mIsReachable);
 }
 
+void
+RelayReducer::State::On(RelayContext& aContext, const StoreWentBack&)
+{
+  mReplicaRegistry.OnStoreWentBack(aContext.Now());
+}
+
 void
 RelayReducer::State::On(RelayContext& aContext, const ReplicasRead& aEvent)
 {
--- a/packages/core/src/relay/replica_registry.cpp
+++ b/packages/core/src/relay/replica_registry.cpp
@@ -22,11 +22,19 @@
   mIsStoreReachable = aIsReachable;
 }
 
+void
+ReplicaRegistry::OnStoreWentBack(Instant aNow)
+{
+  mUnreliableUntil = aNow + kRepublishDelay;
+}
+
 bool
 ReplicaRegistry::AreEntriesUnreliable(Instant aNow) const
 {
-  return mWasStoreLost &&
-         (!mIsStoreReachable || aNow - mStoreReachableSince < kRepublishDelay);
+  const bool isAfterOutage =
+    mWasStoreLost &&
+    (!mIsStoreReachable || aNow - mStoreReachableSince < kRepublishDelay);
+  return isAfterOutage || aNow < mUnreliableUntil;
 }
 
 void
--- a/packages/peer/src/codec/fields.h
+++ b/packages/peer/src/codec/fields.h
@@ -442,7 +442,7 @@
   aConverter(aCore.mLimits, aWire.limits);
 }
 
-static_assert(detail::trace::CountFields<PublishedNews>() == 4);
+static_assert(detail::trace::CountFields<PublishedNews>() == 5);
 template<class Converter,
          MaybeConst<PublishedNews> Core,
          MaybeConst<wire::PublishedNewsT> Wire>
@@ -453,9 +453,10 @@
   aConverter(aCore.mFrom, aWire.from);
   aConverter(aCore.mAt, aWire.at);
   aConverter(aCore.mItems, aWire.items);
+  aConverter(aCore.mEra, aWire.era);
 }
 
-static_assert(detail::trace::CountFields<PublishedRequest>() == 2);
+static_assert(detail::trace::CountFields<PublishedRequest>() == 3);
 template<class Converter,
          MaybeConst<PublishedRequest> Core,
          MaybeConst<wire::PublishedRequestT> Wire>
@@ -464,9 +465,10 @@
 {
   aConverter(aCore.mPrefix, aWire.prefix);
   aConverter(aCore.mKnownRevision, aWire.have);
+  aConverter(aCore.mKnownEra, aWire.era);
 }
 
-static_assert(detail::trace::CountFields<PublishedReply>() == 3);
+static_assert(detail::trace::CountFields<PublishedReply>() == 4);
 template<class Converter,
          MaybeConst<PublishedReply> Core,
          MaybeConst<wire::PublishedReplyT> Wire>
@@ -476,6 +478,7 @@
   aConverter(aCore.mPrefix, aWire.prefix);
   aConverter(aCore.mAt, aWire.at);
   aConverter(aCore.mItems, aWire.items);
+  aConverter(aCore.mEra, aWire.era);
 }
 
 } // namespace heatherfork::wire_map
--- a/packages/relay/include/heatherfork/detail/relay/store_copy.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_copy.h
@@ -17,6 +17,7 @@
   Revision mFrom = 0;
   Revision mAt = 0;
   std::vector<StoreItem> mItems;
+  StoreEra mEra = 0; ///< Of both revisions.
 };
 
 /// Merges answers of the store and updates from peers, in any order.
@@ -38,10 +39,19 @@
     kChanged,
   };
 
+  /// Whether an answer can be merged into the copy.
+  enum class AnswerFit
+  {
+    kFits,
+    kRestart, ///< The answer continues from another state than the copy's.
+    kStale,   ///< Of an earlier era than the copy.
+  };
+
   explicit StoreCopy(Differs aDiffers);
 
   bool IsComplete() const { return mIsComplete; }
   Revision HeldRevision() const { return mAt; }
+  StoreEra HeldEra() const { return mEra; }
   const Items& HeldItems() const { return mItems; }
 
   /// The key after which the next page of the range read starts.
@@ -50,6 +60,8 @@
   /// Starts a new range read. The current items stay until it is complete.
   void Restart();
 
+  AnswerFit Check(const StoreCall& aCall, const StoreAnswer& aAnswer) const;
+
   /// Merges the answer to a range or watch call that continues from the current
   /// state. Returns whether the items have changed. The watch variant sets
   /// aUpdate to the changes.
@@ -60,16 +72,19 @@
 
   /// Replaces the items by a peer's copy if that is newer. Returns whether it
   /// was.
-  bool ApplySnapshot(Revision aAt, Items aItems);
+  bool ApplySnapshot(StoreEra aEra, Revision aAt, Items aItems);
 
 private:
-  void Replace(Revision aAt, Items aItems);
+  bool IsNewer(StoreEra aEra, Revision aAt) const;
+  void Replace(StoreEra aEra, Revision aAt, Items aItems);
   bool Apply(const StoreItem& aItem);
 
   Differs mDiffers;
   bool mIsComplete = false; ///< All pages are read; a watch can start at mAt.
+  StoreEra mEra = 0;
   Revision mAt = 0;
   std::string mPageStartKey;
+  StoreEra mPagesEra = 0;
   Revision mPagesRevision = 0;
   Items mPages; ///< Pages of the range read in progress.
   Items mItems;
--- a/packages/relay/include/heatherfork/detail/relay/store_reader.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_reader.h
@@ -24,6 +24,9 @@
   /// Called after each watch whose changes may be sent to other nodes.
   std::function<void(const StoreUpdate&)> mOnUpdate;
 
+  /// Called before mOnItems when the items are of a later era than before.
+  std::function<void(StoreEra)> mOnWentBack;
+
   StoreCopy::Differs mDiffers;
 };
 
@@ -47,6 +50,7 @@
   const std::string& Prefix() const { return mPrefix; }
   const Items& HeldItems() const { return mCopy.HeldItems(); }
   Revision HeldRevision() const { return mCopy.HeldRevision(); }
+  StoreEra HeldEra() const { return mCopy.HeldEra(); }
 
   /// Time since the last answer of the store or update from a peer.
   Duration UpdateAge() const { return SteadyNow() - mPacing.LastUpdateAt(); }
@@ -55,7 +59,7 @@
   void SetReadsForOthers(bool aReads) { mPacing.SetReadsForOthers(aReads); }
 
   /// Replaces the copy by another node's copy if that is newer.
-  void ApplyPeerSnapshot(Revision aAt, Items aItems);
+  void ApplyPeerSnapshot(StoreEra aEra, Revision aAt, Items aItems);
 
   /// Merges changes from another node. Returns true if earlier changes are
   /// missing and a full copy should be requested.
@@ -76,6 +80,9 @@
   void HandleFailure(const std::string& aReason);
   void MarkReachable(const char* aSource);
 
+  /// Hands out items that replaced those of a former era and revision.
+  void PublishItems(StoreEra aFormerEra, Revision aFormerRevision);
+
   IoLoop& mLoop;
   const RelayWire& mWire;
   Address mStore;
@@ -90,7 +97,7 @@
   StoreCall mCall;
   Instant mCallStartedAt{};
   Instant mNextAskPeerAt{};
-  int mStatus = 0;
+  HttpHead mHead; ///< Of the answer.
   std::string mBody;
   bool mIsReachable = false;
 };
--- a/packages/relay/include/heatherfork/relay_wire.h
+++ b/packages/relay/include/heatherfork/relay_wire.h
@@ -45,6 +45,7 @@
   std::string mFrom; ///< Last key of the previous page of a range.
   Revision mAfter = 0;
   Duration mWait{};
+  StoreEra mEra = 0; ///< Of mAfter and of the copy that the answer goes into.
 };
 
 /// An item of the store, or its deletion.
@@ -71,6 +72,7 @@
   std::vector<StoreItem> mItems;
   bool mHasMore = false;
   Revision mAt = 0;
+  std::optional<StoreEra> mEra; ///< Empty if the store does not name it.
 };
 
 /// A request for the entries: the addresses at which nodes take callers.
@@ -124,7 +126,7 @@
   virtual std::string WriteStoreCall(const Address& aStore,
                                      const StoreCall& aCall) const = 0;
   virtual StoreAnswer ReadStoreAnswer(const StoreCall& aCall,
-                                      int aStatus,
+                                      const HttpHead& aHead,
                                       std::string_view aBody) const = 0;
 
   /// Key of the routing configuration and prefix of the replicas.
--- a/packages/relay/src/store_copy.cpp
+++ b/packages/relay/src/store_copy.cpp
@@ -1,6 +1,7 @@
 #include "heatherfork/detail/relay/store_copy.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace heatherfork::relay {
@@ -18,12 +19,38 @@
   mPages.clear();
 }
 
+bool
+StoreCopy::IsNewer(StoreEra aEra, Revision aAt) const
+{
+  return std::tie(aEra, aAt) > std::tie(mEra, mAt);
+}
+
+// Since the call was made, the store may have gone back, or a peer's copy may
+// have replaced this one.
+StoreCopy::AnswerFit
+StoreCopy::Check(const StoreCall& aCall, const StoreAnswer& aAnswer) const
+{
+  const StoreEra era = aAnswer.mEra.value_or(aCall.mEra);
+  if (aCall.mKind == StoreCall::Kind::kWatch) {
+    const bool continues =
+      era == aCall.mEra && era == mEra && aCall.mAfter <= mAt;
+    return continues ? AnswerFit::kFits : AnswerFit::kRestart;
+  }
+  if (era < mEra) {
+    return AnswerFit::kStale;
+  }
+  const bool isNextPage =
+    aCall.mFrom == mPageStartKey && (mPageStartKey.empty() || era == mPagesEra);
+  return isNextPage ? AnswerFit::kFits : AnswerFit::kRestart;
+}
+
 bool
 StoreCopy::ApplyPage(const StoreAnswer& aAnswer)
 {
   // Pages are no consistent snapshot. The watch starts at the first page's
   // revision, so it repeats changes made between pages.
   if (mPageStartKey.empty()) {
+    mPagesEra = aAnswer.mEra.value_or(mEra);
     mPagesRevision = aAnswer.mAt;
   }
   for (const StoreItem& item : aAnswer.mItems) {
@@ -36,28 +63,29 @@
   Items pages;
   pages.swap(mPages);
   mPageStartKey.clear();
-  if (mIsComplete && mPagesRevision <= mAt) {
+  if (mIsComplete && !IsNewer(mPagesEra, mPagesRevision)) {
     return false; // A peer's copy arrived first and is not older.
   }
-  Replace(mPagesRevision, std::move(pages));
+  Replace(mPagesEra, mPagesRevision, std::move(pages));
   return true;
 }
 
 bool
-StoreCopy::ApplySnapshot(Revision aAt, Items aItems)
+StoreCopy::ApplySnapshot(StoreEra aEra, Revision aAt, Items aItems)
 {
-  if (aAt <= mAt) {
+  if (!IsNewer(aEra, aAt)) {
     return false;
   }
-  Replace(aAt, std::move(aItems));
+  Replace(aEra, aAt, std::move(aItems));
   return true;
 }
 
 void
-StoreCopy::Replace(Revision aAt, Items aItems)
+StoreCopy::Replace(StoreEra aEra, Revision aAt, Items aItems)
 {
   Restart();
   mIsComplete = true;
+  mEra = aEra;
   mAt = aAt;
   mItems = std::move(aItems);
 }
@@ -89,7 +117,7 @@
 bool
 StoreCopy::ApplyWatchAnswer(const StoreAnswer& aAnswer, StoreUpdate& aUpdate)
 {
-  aUpdate = StoreUpdate{ mAt, mAt, {} };
+  aUpdate = StoreUpdate{ mAt, mAt, {}, mEra };
   if (aAnswer.mAt < mAt) {
     return false; // A peer's update is newer and includes later deletions.
   }
@@ -106,10 +134,11 @@
 StoreCopy::MergeResult
 StoreCopy::ApplyUpdate(const StoreUpdate& aUpdate)
 {
-  if (mIsComplete && aUpdate.mAt < mAt) {
+  if (mIsComplete &&
+      std::tie(aUpdate.mEra, aUpdate.mAt) < std::tie(mEra, mAt)) {
     return MergeResult::kStale;
   }
-  if (!mIsComplete || aUpdate.mFrom > mAt) {
+  if (!mIsComplete || aUpdate.mEra > mEra || aUpdate.mFrom > mAt) {
     return MergeResult::kGap;
   }
   bool hasChanged = false;
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -55,6 +55,7 @@
 {
   mCall = StoreCall{};
   mCall.mPath = mPrefix;
+  mCall.mEra = mCopy.HeldEra();
   if (mCopy.IsComplete()) {
     mCall.mKind = StoreCall::Kind::kWatch;
     mCall.mAfter = mCopy.HeldRevision();
@@ -65,7 +66,7 @@
   }
   mIsCalling = true;
   mCallStartedAt = aNow;
-  mStatus = 0;
+  mHead = HttpHead{};
   mBody.clear();
   if (mConnection == nullptr || !mConnection->CanBeReused()) {
     mConnection = std::make_unique<ServerConnection>(mLoop, mStore);
@@ -76,7 +77,7 @@
 bool
 StoreReader::OnHead(const HttpHead& aHead)
 {
-  mStatus = aHead.mStatus;
+  mHead = aHead;
   return true;
 }
 
@@ -96,7 +97,7 @@
 void
 StoreReader::OnDone()
 {
-  HandleAnswer(mWire.ReadStoreAnswer(mCall, mStatus, mBody));
+  HandleAnswer(mWire.ReadStoreAnswer(mCall, mHead, mBody));
 }
 
 void
@@ -116,13 +117,24 @@
 }
 
 void
-StoreReader::ApplyPeerSnapshot(Revision aAt, Items aItems)
+StoreReader::ApplyPeerSnapshot(StoreEra aEra, Revision aAt, Items aItems)
 {
-  if (mCopy.ApplySnapshot(aAt, std::move(aItems))) {
-    mHooks.mOnItems(mCopy.HeldItems());
+  const StoreEra formerEra = mCopy.HeldEra();
+  const Revision formerRevision = mCopy.HeldRevision();
+  if (mCopy.ApplySnapshot(aEra, aAt, std::move(aItems))) {
+    PublishItems(formerEra, formerRevision);
   }
 }
 
+void
+StoreReader::PublishItems(StoreEra aFormerEra, Revision aFormerRevision)
+{
+  if (aFormerRevision != 0 && mCopy.HeldEra() > aFormerEra) {
+    mHooks.mOnWentBack(mCopy.HeldEra());
+  }
+  mHooks.mOnItems(mCopy.HeldItems());
+}
+
 bool
 StoreReader::ApplyUpdate(const StoreUpdate& aUpdate)
 {
@@ -179,7 +191,20 @@
     case StoreAnswer::Status::kMissing:
     case StoreAnswer::Status::kRefused:
     case StoreAnswer::Status::kMalformed:
-      HandleFailure("status " + std::to_string(mStatus));
+      HandleFailure("status " + std::to_string(mHead.mStatus));
+      return;
+  }
+  switch (mCopy.Check(mCall, aAnswer)) {
+    case StoreCopy::AnswerFit::kFits:
+      break;
+    case StoreCopy::AnswerFit::kRestart:
+      mCopy.Restart();
+      mIsCalling = false;
+      mPacing.OnCompacted();
+      return;
+    case StoreCopy::AnswerFit::kStale:
+      HandleFailure("answer of an earlier era than " +
+                    std::to_string(mCopy.HeldEra()));
       return;
   }
   mIsCalling = false;
@@ -187,8 +212,10 @@
   MarkReachable("the store's answer");
   if (mCall.mKind == StoreCall::Kind::kRange) {
     mPacing.OnPage(now);
+    const StoreEra formerEra = mCopy.HeldEra();
+    const Revision formerRevision = mCopy.HeldRevision();
     if (mCopy.ApplyPage(aAnswer)) {
-      mHooks.mOnItems(mCopy.HeldItems());
+      PublishItems(formerEra, formerRevision);
     }
     return;
   }
--- a/packages/relay/src/store_watch.cpp
+++ b/packages/relay/src/store_watch.cpp
@@ -55,6 +55,7 @@
           OnReachability("routing", aIsReachable, aReason);
         },
         [this](const StoreUpdate& aUpdate) { UpdatePeers(mRouting, aUpdate); },
+        [this](StoreEra aEra) { OnWentBack("routing", aEra); },
         [](const StoreItem& aOld, const StoreItem& aNew) {
           return aOld.mValue != aNew.mValue;
         } })
@@ -72,6 +73,10 @@
           mHooks.mPost(StoreReachabilityChanged{ aIsReachable });
         },
         [this](const StoreUpdate& aUpdate) { UpdatePeers(mReplicas, aUpdate); },
+        [this](StoreEra aEra) {
+          OnWentBack("replicas", aEra);
+          mHooks.mPost(StoreWentBack{});
+        },
         [this](const StoreItem& aOld, const StoreItem& aNew) {
           // Replicas rewrite their items as heartbeats.
           std::string reason;
@@ -147,7 +152,8 @@
   }
   const Member& peer = *others[mRandom() % others.size()];
   mHooks.mSend(peer,
-               PublishedRequest{ aReader.Prefix(), aReader.HeldRevision() });
+               PublishedRequest{
+                 aReader.Prefix(), aReader.HeldRevision(), aReader.HeldEra() });
 }
 
 void
@@ -177,7 +183,9 @@
 void
 StoreWatch::UpdatePeers(const StoreReader& aReader, const StoreUpdate& aUpdate)
 {
-  PublishedNews update{ aReader.Prefix(), aUpdate.mFrom, aUpdate.mAt, {} };
+  PublishedNews update{
+    aReader.Prefix(), aUpdate.mFrom, aUpdate.mAt, {}, aUpdate.mEra
+  };
   for (const StoreItem& item : aUpdate.mItems) {
     update.mItems.push_back(
       { item.mKey, item.mValue, item.mRevision, item.mIsDeleted });
@@ -231,10 +239,14 @@
 StoreWatch::On(const NodeId& aFrom, const PublishedRequest& aRequest)
 {
   const StoreReader* reader = FindReader(aRequest.mPrefix);
-  if (reader == nullptr || reader->HeldRevision() <= aRequest.mKnownRevision) {
+  if (reader == nullptr ||
+      std::pair(reader->HeldEra(), reader->HeldRevision()) <=
+        std::pair(aRequest.mKnownEra, aRequest.mKnownRevision)) {
     return;
   }
-  PublishedReply reply{ aRequest.mPrefix, reader->HeldRevision(), {} };
+  PublishedReply reply{
+    aRequest.mPrefix, reader->HeldRevision(), {}, reader->HeldEra()
+  };
   for (const auto& [key, item] : reader->HeldItems()) {
     reply.mItems.push_back({ key, item.mValue, item.mRevision, false });
   }
@@ -245,13 +257,15 @@
 StoreWatch::On(const NodeId& aFrom, const PublishedNews& aUpdate)
 {
   StoreReader* reader = FindReader(aUpdate.mPrefix);
-  StoreUpdate taken{ aUpdate.mFrom, aUpdate.mAt, {} };
+  StoreUpdate taken{ aUpdate.mFrom, aUpdate.mAt, {}, aUpdate.mEra };
   for (const PublishedItem& item : aUpdate.mItems) {
     taken.mItems.push_back(
       { item.mKey, item.mValue, item.mRevision, item.mIsDeleted });
   }
   if (reader != nullptr && reader->ApplyUpdate(taken)) {
-    SendTo(aFrom, PublishedRequest{ reader->Prefix(), reader->HeldRevision() });
+    SendTo(aFrom,
+           PublishedRequest{
+             reader->Prefix(), reader->HeldRevision(), reader->HeldEra() });
   }
 }
 
@@ -270,9 +284,19 @@
            "news-from-peer",
            "",
            "from=" + aFrom.mName.mValue + " prefix=" + aReply.mPrefix +
+             " era=" + std::to_string(aReply.mEra) +
              " at=" + std::to_string(aReply.mAt) +
              " held_at=" + std::to_string(reader->HeldRevision()));
-  reader->ApplyPeerSnapshot(aReply.mAt, std::move(items));
+  reader->ApplyPeerSnapshot(aReply.mEra, aReply.mAt, std::move(items));
+}
+
+void
+StoreWatch::OnWentBack(const char* aName, StoreEra aEra)
+{
+  mLog.Add(LogLevel::kWarning,
+           "store-went-back",
+           "",
+           std::string("reader=") + aName + " era=" + std::to_string(aEra));
 }
 
 void
--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -18,9 +18,10 @@
         self.history = []
         self.revision = 100
         self.oldest = 100
+        self.era = 1
         self.mode = ""
         self.calls = 0
-        self.changed = threading.Condition()
+        self.changed = threading.Condition(threading.RLock())
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -66,6 +67,19 @@
             self.history.clear()
             self.oldest = self.revision
 
+    def copy(self):
+        with self.changed:
+            return dict(self.items), list(self.history), self.revision
+
+    def go_back(self, copy, *again):
+        """Restores a copy(); (key, value) pairs in `again` are written at once."""
+        with self.changed:
+            self.items, self.history, self.revision = dict(copy[0]), list(copy[1]), copy[2]
+            self.era += 1
+            for key, value in again:
+                self.put(key, value)
+            self.changed.notify_all()
+
     def answer(self, handler):
         self.calls += 1
         if self.mode == "silent":
@@ -103,7 +117,8 @@
         after = int(query["after"])
         deadline = time.monotonic() + int(query["WaitMs"]) / 1000
         with self.changed:
-            if after < self.oldest:
+            era = self.era
+            if after < self.oldest or after > self.revision:
                 self.reply(handler, 410, {})
                 return
             while True:
@@ -113,23 +128,25 @@
                     if event["Revision"] > after and event["Key"].startswith(prefix)
                 ]
                 left = deadline - time.monotonic()
+                if era != self.era and after > self.revision:
+                    self.reply(handler, 410, {})
+                    return
                 if events or left <= 0:
                     break
                 self.changed.wait(left)
             body = {"events": events, "At": self.revision}
         self.reply(handler, 200, body)
 
-    @staticmethod
-    def reply(handler, status, body):
+    def reply(self, handler, status, body):
         text = json.dumps(body).encode()
         try:
-            FakeStore.write(handler, status, text)
+            self.write(handler, status, text)
         except OSError:
             pass  # The node closed the connection, which is no error here.
 
-    @staticmethod
-    def write(handler, status, text):
+    def write(self, handler, status, text):
         handler.send_response(status)
+        handler.send_header("Store-Era", str(self.era))
         handler.send_header("Content-Type", "application/json")
         handler.send_header("Content-Length", str(len(text)))
         handler.end_headers()
--- a/tests/unit-peer-codec.cpp
+++ b/tests/unit-peer-codec.cpp
@@ -106,10 +106,10 @@
     PartRequest{ "digest" },
     PartReply{ "digest", true, "body" },
     CrashReport{ 7, 2, Milliseconds(600000) },
-    PublishedRequest{ "replicas/", 8 },
-    PublishedReply{ "replicas/", 9, { { "replicas/a", "{}", 8, false } } },
+    PublishedRequest{ "replicas/", 8, 3 },
+    PublishedReply{ "replicas/", 9, { { "replicas/a", "{}", 8, false } }, 3 },
     PlacementsKept{ { { FullPlaceRequest(), ServerName{ "s" } } } },
-    PublishedNews{ "replicas/", 8, 9, { { "replicas/a", "", 9, true } } },
+    PublishedNews{ "replicas/", 8, 9, { { "replicas/a", "", 9, true } }, 3 },
     ContentReport{ 3, { 1, 2 }, { 4 }, { { 5, Milliseconds(600000) } }, { 2 } },
     LimitReport{ { { ServerName{ "s" }, 5, true, { 400 }, Milliseconds(7) } } },
   };
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -265,3 +265,32 @@
     CHECK(flags.mIsForRequest);
   }
 }
+
+TEST(Platform, ReadsEraOfTheStore)
+{
+  struct Row
+  {
+    int mStatus;
+    const char* mField; ///< Null: not sent.
+    std::optional<StoreEra> mExpected;
+  };
+  const Row kRows[] = {
+    { 200, "3", 3 },
+    { 410, "4", 4 },
+    { 503, "4", 4 },
+    { 200, nullptr, std::nullopt },
+    { 200, "", std::nullopt },
+    { 200, "-1", std::nullopt },
+    { 200, "x", std::nullopt },
+  };
+  for (const Row& row : kRows) {
+    HttpHead head;
+    head.mStatus = row.mStatus;
+    if (row.mField != nullptr) {
+      head.mFields.push_back({ "Store-Era", row.mField });
+    }
+    const StoreAnswer answer =
+      kWire.ReadStoreAnswer(StoreCall{}, head, R"({"events": [], "At": 1})");
+    CHECK(answer.mEra == row.mExpected);
+  }
+}
--- a/tests/unit-store-copy.cpp
+++ b/tests/unit-store-copy.cpp
@@ -178,14 +178,113 @@
   StoreCopy copy = MakeCompleteCopy();
   copy.Restart();
   CHECK(copy.ApplyUpdate({ 10, 11, {} }) == StoreCopy::MergeResult::kGap);
-  CHECK_FALSE(copy.ApplySnapshot(9, {}));
-  CHECK(copy.ApplySnapshot(20, { { "c", { "c", "x,1", 18, false } } }));
+  CHECK_FALSE(copy.ApplySnapshot(0, 9, {}));
+  CHECK(copy.ApplySnapshot(0, 20, { { "c", { "c", "x,1", 18, false } } }));
   CHECK(copy.IsComplete());
   // The node's own range read started earlier, so its result is older.
   CHECK_FALSE(copy.ApplyPage(MakeAnswer(19, {})));
   STRCMP_EQUAL("20: c=x,1", ToText(copy).c_str());
 }
 
+// Revisions are given out again after the store went back.
+TEST(StoreCopy, LaterErasOutrankHigherRevisions)
+{
+  const StoreCopy::Items items{ { "c", { "c", "x,1", 5, false } } };
+  struct Row
+  {
+    StoreEra mEra;
+    Revision mAt;
+    bool mIsNewer;
+  };
+  const Row kRows[] = {
+    { 0, 10, false }, { 0, 11, true },   { 1, 6, true },
+    { 1, 10, true },  { 1, 1000, true }, { 0, 1000, true },
+  };
+  for (const Row& row : kRows) {
+    StoreCopy copy = MakeCompleteCopy();
+    CHECK_EQUAL(row.mIsNewer, copy.ApplySnapshot(row.mEra, row.mAt, items));
+    CHECK_EQUAL(row.mIsNewer ? row.mEra : 0, copy.HeldEra());
+    // Nothing of an earlier era replaces it, whatever its number is.
+    if (row.mEra == 1) {
+      CHECK_FALSE(copy.ApplySnapshot(0, 2000, {}));
+      CHECK(copy.ApplyUpdate({ row.mAt, 2000, {}, 0 }) ==
+            StoreCopy::MergeResult::kStale);
+      CHECK(copy.ApplyUpdate({ row.mAt, 3, {}, 2 }) ==
+            StoreCopy::MergeResult::kGap);
+    }
+  }
+}
+
+TEST(StoreCopy, PagesOfALaterEraReplaceHigherRevisions)
+{
+  StoreCopy copy = MakeCompleteCopy();
+  copy.Restart();
+  StoreAnswer page = MakeAnswer(7, { { "c", "x,1", 5, false } });
+  page.mEra = 1;
+  CHECK(copy.ApplyPage(page));
+  STRCMP_EQUAL("7: c=x,1", ToText(copy).c_str());
+  CHECK_EQUAL(1U, copy.HeldEra());
+  // The store does not name its era any more: it is taken for the same one.
+  StoreUpdate update;
+  CHECK(
+    copy.ApplyWatchAnswer(MakeAnswer(8, { { "c", "y,1", 8, false } }), update));
+  CHECK_EQUAL(1U, update.mEra);
+}
+
+TEST(StoreCopy, AnswersThatContinueFromAnotherStateDoNotFit)
+{
+  using enum StoreCall::Kind;
+  using enum StoreCopy::AnswerFit;
+  struct Row
+  {
+    const char* mName;
+    StoreCall::Kind mKind;
+    std::string mFrom;
+    Revision mAfter;
+    StoreEra mCallEra;
+    std::optional<StoreEra> mAnswerEra;
+    StoreCopy::AnswerFit mExpected;
+  };
+  // The copy is at revision 10 of era 4.
+  const Row kRows[] = {
+    { "watch", kWatch, "", 10, 4, 4, kFits },
+    { "no era named", kWatch, "", 10, 4, std::nullopt, kFits },
+    { "peer's update since the call", kWatch, "", 8, 4, 4, kFits },
+    { "store went back", kWatch, "", 10, 4, 5, kRestart },
+    { "call before a peer's copy", kWatch, "", 90, 3, 4, kRestart },
+    { "all before a peer's copy", kWatch, "", 90, 3, 3, kRestart },
+    { "range", kRange, "", 0, 4, 4, kFits },
+    { "range of a later era", kRange, "", 0, 4, 5, kFits },
+    { "range of an earlier era", kRange, "", 0, 4, 3, kStale },
+    { "page whose first one is gone", kRange, "b", 0, 4, 4, kRestart },
+  };
+  for (const Row& row : kRows) {
+    StoreCopy copy(Differs);
+    CHECK(copy.ApplySnapshot(4, 10, {}));
+    StoreCall call;
+    call.mKind = row.mKind;
+    call.mFrom = row.mFrom;
+    call.mAfter = row.mAfter;
+    call.mEra = row.mCallEra;
+    StoreAnswer answer = MakeAnswer(12, {});
+    answer.mEra = row.mAnswerEra;
+    CHECK_TEXT(copy.Check(call, answer) == row.mExpected, row.mName);
+  }
+}
+
+TEST(StoreCopy, PagesOfTwoErasAreNotJoined)
+{
+  StoreCopy copy(Differs);
+  StoreAnswer page = MakeAnswer(10, { { "a", "x,1", 4, false } }, true);
+  page.mEra = 1;
+  CHECK_FALSE(copy.ApplyPage(page));
+  StoreCall call;
+  call.mKind = StoreCall::Kind::kRange;
+  call.mFrom = copy.PageStartKey();
+  page.mEra = 2;
+  CHECK(copy.Check(call, page) == StoreCopy::AnswerFit::kRestart);
+}
+
 // The load on the store must not grow with the number of nodes.
 TEST(StoreCopy, ChoosesAtMostTwoReaders)
 {
