A replica that was leaving stays so when its entry goes back

What replicas saw: after the store had gone back to a state before a replica's mark of leaving, requests reached it again, though the node had seen the mark.

Change: ReplicaRegistry remembers the start of each replica that was leaving. A later start is used.

--- a/packages/core/include/heatherfork/detail/relay/replica_registry.h
+++ b/packages/core/include/heatherfork/detail/relay/replica_registry.h
@@ -3,7 +3,7 @@
 #include <map>
 #include <optional>
 
-#include "heatherfork/routing.h"
+#include "heatherfork/detail/relay/leaving_replicas.h"
 
 /// Tracks the usable replicas across outages of the store.
 namespace heatherfork::detail {
@@ -33,6 +33,7 @@
   void RebuildEffective();
 
   Replicas mPublished;
+  LeavingReplicas mLeaving;
   std::map<ServerName, Replica> mRetained;
   Replicas mEffective;
   bool mIsStoreReachable = false;
--- a/packages/core/src/relay/replica_registry.cpp
+++ b/packages/core/src/relay/replica_registry.cpp
@@ -51,6 +51,9 @@
   }
   for (const Replica& replica : aPublished) {
     mRetained.erase(replica.mName);
+    if (replica.mLeaving) {
+      mLeaving.Add(aNow, replica.mName, replica.mStartedAt);
+    }
   }
   mPublished = std::move(aPublished);
   RebuildEffective();
@@ -74,6 +77,9 @@
   for (const auto& [name, replica] : mRetained) {
     mEffective.push_back(replica);
   }
+  for (Replica& replica : mEffective) {
+    replica.mLeaving = replica.mLeaving || mLeaving.Contains(replica);
+  }
   std::sort(mEffective.begin(), mEffective.end());
 }
 
--- a/tests/relay/test_restored_store.py
+++ b/tests/relay/test_restored_store.py
@@ -119,6 +119,26 @@
         for node in self.nodes:
             self.assertEqual(200, self.status(node, "/often/x"))
 
+    # Guards against entries that are older than what a node has seen.
+    def test_a_replica_that_was_leaving_gets_nothing_when_its_entry_is_ready_again(self):
+        leaving, other = self.platform.plain_replicas
+        self.start_nodes(*[self.store] * 2, self.unreachable)
+        before = self.store.copy()
+        self.store.put("servers/" + leaving.name, leaving.entry("desk", "draining"))
+        time.sleep(1)
+        self.store.go_back(before)
+        time.sleep(REPUBLISH_SECONDS)
+        leaving.received.clear()
+        for number in range(30):
+            self.assertEqual(200, self.status(self.nodes[number % 3], "/often/x"))
+        self.assertEqual([], leaving.received)
+        # A later start at the address is used.
+        self.store.put("servers/" + leaving.name, {**leaving.entry("desk"), "born": 1800000000000})
+        self.store.delete("servers/" + other.name)
+        time.sleep(3)
+        for node in self.nodes:
+            self.assertEqual(200, self.status(node, "/often/x"))
+
 
 if __name__ == "__main__":
     unittest.main()
