--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -16,6 +16,7 @@
     def __init__(self):
         self.items = {}
         self.history = []
+        self.written = {}  # What was written last under each key; None: deleted.
         self.revision = 100
         self.oldest = 100
         self.era = 1
@@ -41,6 +42,7 @@
     def put(self, key, value):
         text = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self.changed:
+            self.written[key] = text
             self.revision += 1
             item = {
                 "Key": key,
@@ -55,6 +57,7 @@
 
     def delete(self, key):
         with self.changed:
+            self.written[key] = None
             self.revision += 1
             self.items.pop(key, None)
             self.history.append(
@@ -80,6 +83,17 @@
                 self.put(key, value)
             self.changed.notify_all()
 
+    def write_again(self):
+        """Writes what a restored copy lacks, as the operator and the replicas do."""
+        with self.changed:
+            for key, text in list(self.written.items()):
+                item = self.items.get(key)
+                held = base64.b64decode(item["Value"]) if item else None
+                if text is None and item:
+                    self.delete(key)
+                elif text is not None and text != held:
+                    self.put(key, text)
+
     def answer(self, handler):
         self.calls += 1
         if self.mode == "silent":
--- a/tests/relay/soak.py
+++ b/tests/relay/soak.py
@@ -106,6 +106,8 @@
                 time.sleep(min(left, 0.02))
 
     def answer(self, connection, fields, body):
+        if "Request-Id" not in fields:
+            return super().answer(connection, fields, body)
         request_id = fields["Request-Id"]
         fault = self.fault if time.monotonic() < self.fault_until else ""
         if self.random.random() >= self.fault_share:
@@ -117,6 +119,10 @@
             connection.sendall(
                 encode_response(503, b"", request_id, signed=False, extra="Not-Executed: 1\r\n"))
             return True
+        if fault == "later":
+            extra = "Not-Executed: 1\r\nRetry-After: 1\r\n"
+            connection.sendall(encode_response(503, b"", request_id, signed=False, extra=extra))
+            return True
         if fault == "elsewhere" or fields.get("Target-Instance") != self.name:
             connection.sendall(encode_response(421, b"", request_id, signed=False))
             return True
@@ -509,6 +515,17 @@
             time.sleep(seconds)
             self.store.mode = ""
 
+    def restore_store(self, mode, seconds):
+        copy = self.store.copy()
+        time.sleep(seconds)
+        with self.disruption("store: goes back %s s" % seconds):
+            self.store.mode = mode
+            time.sleep(0.3)
+            self.store.go_back(copy)
+            self.store.mode = ""
+            time.sleep(1)
+            self.store.write_again()
+
     @contextlib.contextmanager
     def disruption(self, text):
         """A span of unplanned trouble."""
@@ -543,14 +560,17 @@
             self.pause_node, draw.choice(nodes), draw.choice((0.2, 1, 3))))
         series(mixed_from, end, 4, lambda: (
             self.fail_store, draw.choice(("silent", "busy", "reset")), draw.choice((0.5, 2, 4))))
+        series(mixed_from, end, 5, lambda: (
+            self.restore_store, draw.choice(("", "reset")), draw.choice((0.5, 2, 4))))
         series(mixed_from, end, 1.5, lambda: self.draw_replica_fault(draw))
         return sorted(rows, key=lambda row: row[0])
 
     def draw_replica_fault(self, draw):
         index, seconds = draw.randrange(8), draw.choice((0.5, 1.5, 3))
         kind = draw.choice(("pause", "crash", "drain", "fault", "fault", "fault"))
-        fault = draw.choice(("truncated", "reset", "full", "failed", "garbage", "unsigned",
-                             "unframed", "unframed-reset", "extra", "elsewhere", "cut-stream"))
+        fault = draw.choice(("truncated", "reset", "full", "later", "failed", "garbage",
+                             "unsigned", "unframed", "unframed-reset", "extra", "elsewhere",
+                             "cut-stream"))
         share = draw.choice((0.1, 0.5, 1))
 
         def act(_, __):
