Nodes find what runs at the addresses of nodes that were killed

Cause: the seeds of a node are a few addresses. Those of the new nodes had just started as well; the others asked the address of a dead node once in ten seconds, and for its old incarnation.

Change: while a member is suspect, or dead for less than ten seconds, and no living one has its address, whatever runs there is asked, one address each half second.

--- a/packages/core/include/heatherfork/detail/membership/membership.h
+++ b/packages/core/include/heatherfork/detail/membership/membership.h
@@ -79,6 +79,7 @@
   void ProbeNextNeighbour(Context& aContext);
   void ProbeDisputed(Context& aContext);
   void ProbeRandomDead(Context& aContext);
+  void ProbeSuccessors(Context& aContext);
   void ProbeSeed(Context& aContext);
   std::vector<Address> UnknownSeeds() const;
 
@@ -123,6 +124,7 @@
   Instant mLastProbe{};
   Instant mLastDisputeProbe{};
   Instant mNextDeadProbe{};
+  Instant mNextSuccessorProbe{};
   Instant mNextSeed{};
   Instant mNextSync{};
   Instant mMismatchSince{}; ///< Zero while digests match.
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -1,6 +1,8 @@
 #include "heatherfork/detail/membership/membership.h"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <utility>
 
 #include "heatherfork/detail/membership/overlay.h"
@@ -104,6 +106,7 @@
   ProbeNextNeighbour(aContext);
   ProbeDisputed(aContext);
   ProbeRandomDead(aContext);
+  ProbeSuccessors(aContext);
   ProbeSeed(aContext);
 }
 
@@ -236,6 +239,41 @@
   SendOwnRecord(aContext, member->mNode, member->mPeerAddress);
 }
 
+// A node that starts at the address of another one may know none of those that
+// went on, when its seeds have just started as well. So whatever runs at the
+// address of a node that does not answer is asked, until it is known.
+void
+Membership::ProbeSuccessors(Context& aContext)
+{
+  if (aContext.mNow < mNextSuccessorProbe) {
+    return;
+  }
+  mNextSuccessorProbe =
+    TimeWithJitter(aContext, mMembershipSettings.mProbePeriod);
+  std::set<Address> used;
+  std::set<Address> left;
+  for (const Member& member : mAll) {
+    const bool isUnanswered = member.mStatus == MemberStatus::kSuspect ||
+                              member.mStatus == MemberStatus::kDead;
+    if (!isUnanswered) {
+      used.insert(member.mPeerAddress);
+    } else if (aContext.mNow - mTable.ChangedAt(member.mNode.mName) <
+               mMembershipSettings.mJoinTime) {
+      left.insert(member.mPeerAddress);
+    }
+  }
+  std::vector<Address> unknown;
+  std::set_difference(left.begin(),
+                      left.end(),
+                      used.begin(),
+                      used.end(),
+                      std::back_inserter(unknown));
+  if (!unknown.empty()) {
+    SendOwnRecord(
+      aContext, NodeId{}, unknown[aContext.mRandom() % unknown.size()]);
+  }
+}
+
 std::vector<Address>
 Membership::UnknownSeeds() const
 {
--- /dev/null
+++ b/tests/relay/test_herd.py
@@ -0,0 +1,47 @@
+"""Tests that nodes which outlive a herd of killed ones and those that start again are one fleet."""
+import time
+import unittest
+
+from relay_nodes import Node, Platform, wait_until
+
+NODES = 6
+KILLED = 4
+SUSPECT_SECONDS = 3  # A killed node is noticed within it.
+FIND_SECONDS = 3
+
+
+class HerdTest(unittest.TestCase):
+    def known_alive(self, node):
+        return node.read_metrics().get('heatherfork_members{status="alive"}', 0)
+
+    # Guards against two fleets: the nodes that start have seeds among
+    # themselves alone, and those that went on know the old incarnations.
+    def test_nodes_that_start_together_are_found_by_those_that_went_on(self):
+        platform = Platform()
+        nodes = []
+        for number in range(NODES):
+            seed = nodes[0].address if nodes else None
+            node = Node("n%d" % number, platform.store.address, seed=seed)
+            self.addCleanup(node.stop)
+            nodes.append(node)
+        for node in nodes:
+            node.wait_ready()
+            wait_until(lambda: self.known_alive(node) == NODES)
+        for node in nodes[:KILLED]:
+            node.process.kill()
+            node.process.wait()
+        time.sleep(0.5)
+        for node in nodes[:KILLED]:
+            node.start()
+        for node in nodes[:KILLED]:
+            node.wait_ready()
+        deadline = time.monotonic() + SUSPECT_SECONDS + FIND_SECONDS
+        known = []
+        while time.monotonic() < deadline and known != [NODES] * NODES:
+            time.sleep(0.1)
+            known = [self.known_alive(node) for node in nodes]
+        self.assertEqual([NODES] * NODES, known)
+
+
+if __name__ == "__main__":
+    unittest.main()
