New nodes are told of crashes by nodes that know of them

Two nodes by rendezvous tell a new one; nodes that had started seconds before, and knew nothing, were counted on as well. Nodes count only once they have been known for ten seconds. unit-crashing-content: the next node was not told before.

--- a/packages/core/include/heatherfork/detail/relay/content_guard.h
+++ b/packages/core/include/heatherfork/detail/relay/content_guard.h
@@ -83,6 +83,7 @@
   CrashingContent mContent;
   std::map<ServerName, LostCalls> mLost;
   std::deque<KnownCrash> mCrashes; ///< Of the last minute, the oldest first.
+  std::map<NodeId, Instant> mJoinedAt; ///< Of nodes that may know nothing yet.
   Instant mSharedAt{}; ///< When refused content was last sent to other nodes.
 };
 
--- a/packages/core/src/relay/content_guard.cpp
+++ b/packages/core/src/relay/content_guard.cpp
@@ -27,8 +27,10 @@
 constexpr std::size_t kMaxKnownCrashes = 16;
 constexpr Duration kKnownCrashLifetime = Milliseconds(60000);
 
-// Nodes that tell a new one of earlier crashes.
+// Nodes that tell a new one of earlier crashes. They have been there for a
+// while themselves.
 constexpr int kTellingNodes = 2;
+constexpr Duration kNewNodeTime = Milliseconds(10000);
 
 // The last part belongs to the request or its session, so the fingerprint
 // stands for it.
@@ -293,8 +295,8 @@
 ContentGuard::OnJoined(RelayContext& aContext,
                        const std::vector<NodeId>& aNodes)
 {
-  if (aNodes.empty()) {
-    return;
+  for (const NodeId& node : aNodes) {
+    mJoinedAt[node] = aContext.Now();
   }
   std::vector<ContentReport> reports = KnownCrashes();
   ContentReport refused;
@@ -312,8 +314,7 @@
     };
     const auto isPreferred = [&](const Member& aMember) {
       return aMember.mStatus == MemberStatus::kAlive && aMember.mNode != self &&
-             std::find(aNodes.begin(), aNodes.end(), aMember.mNode) ==
-               aNodes.end() &&
+             !mJoinedAt.contains(aMember.mNode) &&
              weightOf(aMember.mNode) > weightOf(self);
     };
     const Members& members = aContext.mShared.mMembers;
@@ -376,6 +377,9 @@
   std::erase_if(mLost, [&](const auto& aItem) {
     return aContext.Now() - aItem.second.mLostAt > kEvidenceTime;
   });
+  std::erase_if(mJoinedAt, [&](const auto& aItem) {
+    return aContext.Now() - aItem.second > kNewNodeTime;
+  });
   std::erase_if(mCrashes, [&](const KnownCrash& aCrash) {
     return aContext.Now() - aCrash.mAt > kKnownCrashLifetime;
   });
--- a/packages/core/src/relay/relay_backoff.cpp
+++ b/packages/core/src/relay/relay_backoff.cpp
@@ -86,9 +86,9 @@
     return;
   }
   const Duration spread = std::min(aBackoff / kSpreadDivisor, kMaxSpread);
-  const Duration more(static_cast<std::int64_t>(
-    aContext.mShared.mRandom() %
-    static_cast<std::uint64_t>(spread.count() + 1)));
+  const Duration more(
+    static_cast<std::int64_t>(aContext.mShared.mRandom() %
+                              static_cast<std::uint64_t>(spread.count() + 1)));
   Refuse(aContext,
          aRequest,
          { ErrorCode::kServerBackoff, message },
--- a/packages/core/src/relay/server_backoffs.cpp
+++ b/packages/core/src/relay/server_backoffs.cpp
@@ -35,8 +35,8 @@
     aContext.Emit(
       RelayLogEntry{ "server-backoff",
                      "",
-                     "server=" + aReplica.mName.mValue + " for_ms=" +
-                       std::to_string(ToMilliseconds(aBackoff)) });
+                     "server=" + aReplica.mName.mValue +
+                       " for_ms=" + std::to_string(ToMilliseconds(aBackoff)) });
   }
   return isNew;
 }
--- a/tests/unit-crashing-content.cpp
+++ b/tests/unit-crashing-content.cpp
@@ -309,6 +309,19 @@
 // A new node that schedules would run equal requests at the same time again.
 TEST(CrashingContent, NewNodesAreToldOfEarlierCrashes)
 {
+  const auto countTold = [](SingleRelayNode& aNode, const char* aName) {
+    std::pair<std::size_t, std::size_t> told; // Suspects and refused content.
+    for (const RelayEffect& effect : aNode.mLastEffects) {
+      const auto* sent = std::get_if<SendToPeer>(&effect);
+      const auto* report =
+        sent ? std::get_if<ContentReport>(&sent->mMessage) : nullptr;
+      if (report != nullptr && sent->mPeer.mName.mValue == aName) {
+        told.first += report->mSuspects.size();
+        told.second += report->mRefused.size();
+      }
+    }
+    return told;
+  };
   for (const bool isRefused : { false, true }) {
     SingleRelayNode node;
     for (int crash = 0; crash < (isRefused ? 3 : 1); ++crash) {
@@ -321,20 +334,14 @@
       node.SendRequest("/once/x");
       Crash(node, *node.LatestCall());
     }
-    node.AddNodes({ "c" });
-    std::size_t suspects = 0;
-    std::size_t refused = 0;
-    for (const RelayEffect& effect : node.Step(TimerFired{})) {
-      const auto* sent = std::get_if<SendToPeer>(&effect);
-      const auto* report =
-        sent ? std::get_if<ContentReport>(&sent->mMessage) : nullptr;
-      if (report != nullptr) {
-        suspects += report->mSuspects.size();
-        refused += report->mRefused.size();
-      }
+    // Nodes that are new as well are not counted on to tell the next one.
+    for (const char* name : { "c", "d", "e", "f" }) {
+      node.AddNodes({ name });
+      node.Step(TimerFired{});
+      const auto [suspects, refused] = countTold(node, name);
+      CHECK(suspects >= 1);
+      CHECK_EQUAL(isRefused, refused >= 1);
     }
-    CHECK(suspects >= 1);
-    CHECK_EQUAL(isRefused, refused >= 1);
   }
 }
 
