--- a/bench/policy/fleet.cpp
+++ b/bench/policy/fleet.cpp
@@ -484,25 +484,4 @@
                });
 }
 
-void
-Fleet::Execute(Node&, const LogDecision&)
-{
-}
-
-// Nodes get the configuration at the start, so reads are not answered.
-void
-Fleet::Execute(Node&, const ReadHead&)
-{
-}
-
-void
-Fleet::Execute(Node&, const ReadPart&)
-{
-}
-
-void
-Fleet::Execute(Node&, const ExitProcess&)
-{
-}
-
 } // namespace heatherfork::bench
--- a/bench/policy/fleet.h
+++ b/bench/policy/fleet.h
@@ -85,10 +85,11 @@
   void Execute(Node& aNode, const CallServer& aEffect);
   void Execute(Node& aNode, const AbortCall& aEffect);
   void Execute(Node& aNode, const SendToPeer& aEffect);
-  void Execute(Node& aNode, const LogDecision& aEffect);
-  void Execute(Node& aNode, const ExitProcess& aEffect);
-  void Execute(Node& aNode, const ReadHead& aEffect);
-  void Execute(Node& aNode, const ReadPart& aEffect);
+  void Execute(Node&, const LogDecision&) {}
+  void Execute(Node&, const ExitProcess&) {}
+  // Nodes get the configuration at the start, so reads are not answered.
+  void Execute(Node&, const ReadHead&) {}
+  void Execute(Node&, const ReadPart&) {}
   CallHandlers MakeHandlers(Node& aNode,
                             FakeServer& aServer,
                             const CallServer& aCall,
--- a/packages/peer/src/codec/fields.h
+++ b/packages/peer/src/codec/fields.h
@@ -4,7 +4,8 @@
 #include "heatherfork/detail/trace/fields.h"
 #include "heatherfork/peer_generated.h"
 
-/// Field mappings of the types in a frame. The assertions fail if a type gets a
+/// Field mappings of the types in a frame; those of relaying nodes alone are in
+/// relay_fields.h. The assertions fail if a type gets a
 /// field that is not mapped here. Add new fields to the schema as well.
 namespace heatherfork::wire_map {
 
@@ -380,126 +381,4 @@
   aConverter(aCore.mKept, aWire.kept);
 }
 
-static_assert(detail::trace::CountFields<PublishedItem>() == 4);
-template<class Converter,
-         MaybeConst<PublishedItem> Core,
-         MaybeConst<wire::PublishedItemT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mKey, aWire.key);
-  aConverter(aCore.mValue, aWire.value);
-  aConverter(aCore.mRevision, aWire.revision);
-  aConverter(aCore.mIsDeleted, aWire.is_deleted);
-}
-
-static_assert(detail::trace::CountFields<RefusedContent>() == 2);
-template<class Converter,
-         MaybeConst<RefusedContent> Core,
-         MaybeConst<wire::RefusedContentT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mContent, aWire.content);
-  aConverter(aCore.mRemaining, aWire.remaining);
-}
-
-static_assert(detail::trace::CountFields<ContentReport>() == 5);
-template<class Converter,
-         MaybeConst<ContentReport> Core,
-         MaybeConst<wire::ContentReportT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mCrash, aWire.crash);
-  aConverter(aCore.mSuspects, aWire.suspects);
-  aConverter(aCore.mSound, aWire.sound);
-  aConverter(aCore.mRefused, aWire.refused);
-  aConverter(aCore.mRanAlone, aWire.alone);
-}
-
-static_assert(detail::trace::CountFields<ServerLimit>() == 5);
-template<class Converter,
-         MaybeConst<ServerLimit> Core,
-         MaybeConst<wire::ServerLimitT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mServer, aWire.server);
-  aConverter(aCore.mStartedAt, aWire.started_at);
-  aConverter(aCore.mIsNamed, aWire.is_named);
-  aConverter(aCore.mRate.mPer1000Seconds, aWire.rate);
-  aConverter(aCore.mAge, aWire.age);
-}
-
-static_assert(detail::trace::CountFields<LimitReport>() == 1);
-template<class Converter,
-         MaybeConst<LimitReport> Core,
-         MaybeConst<wire::LimitReportT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mLimits, aWire.limits);
-}
-
-static_assert(detail::trace::CountFields<LeavingServer>() == 2);
-template<class Converter,
-         MaybeConst<LeavingServer> Core,
-         MaybeConst<wire::LeavingServerT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mServer, aWire.server);
-  aConverter(aCore.mStartedAt, aWire.started_at);
-}
-
-static_assert(detail::trace::CountFields<LeavingReport>() == 1);
-template<class Converter,
-         MaybeConst<LeavingReport> Core,
-         MaybeConst<wire::LeavingReportT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mServers, aWire.servers);
-}
-
-static_assert(detail::trace::CountFields<PublishedNews>() == 5);
-template<class Converter,
-         MaybeConst<PublishedNews> Core,
-         MaybeConst<wire::PublishedNewsT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mPrefix, aWire.prefix);
-  aConverter(aCore.mFrom, aWire.from);
-  aConverter(aCore.mAt, aWire.at);
-  aConverter(aCore.mItems, aWire.items);
-  aConverter(aCore.mEra, aWire.era);
-}
-
-static_assert(detail::trace::CountFields<PublishedRequest>() == 3);
-template<class Converter,
-         MaybeConst<PublishedRequest> Core,
-         MaybeConst<wire::PublishedRequestT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mPrefix, aWire.prefix);
-  aConverter(aCore.mKnownRevision, aWire.have);
-  aConverter(aCore.mKnownEra, aWire.era);
-}
-
-static_assert(detail::trace::CountFields<PublishedReply>() == 4);
-template<class Converter,
-         MaybeConst<PublishedReply> Core,
-         MaybeConst<wire::PublishedReplyT> Wire>
-void
-MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
-{
-  aConverter(aCore.mPrefix, aWire.prefix);
-  aConverter(aCore.mAt, aWire.at);
-  aConverter(aCore.mItems, aWire.items);
-  aConverter(aCore.mEra, aWire.era);
-}
-
 } // namespace heatherfork::wire_map
--- a/packages/peer/src/codec/greeting.cpp
+++ b/packages/peer/src/codec/greeting.cpp
@@ -4,6 +4,7 @@
 
 #include "aligned_buffer.h"
 #include "fields.h"
+#include "relay_fields.h"
 
 namespace heatherfork::detail {
 
--- a/packages/peer/src/codec/peer_frame.cpp
+++ b/packages/peer/src/codec/peer_frame.cpp
@@ -7,6 +7,7 @@
 
 #include "aligned_buffer.h"
 #include "fields.h"
+#include "relay_fields.h"
 
 namespace heatherfork {
 
--- a/tests/explorer/simulation.cpp
+++ b/tests/explorer/simulation.cpp
@@ -419,12 +419,6 @@
   Transmit(aNode, to, aEffect);
 }
 
-void
-Simulation::Execute(int aNode, const ExitProcess&)
-{
-  Kill(aNode);
-}
-
 void
 Simulation::Transmit(int aFrom, int aTo, const SendToPeer& aEffect)
 {
@@ -492,14 +486,6 @@
   return node.mReducer != nullptr && node.mSettings.mSelf == aId;
 }
 
-void
-Simulation::Record(const TraceLine& aLine)
-{
-  if (mRecording == Recording::kOn) {
-    mResult.mTrace.push_back(aLine);
-  }
-}
-
 void
 Simulation::RecordViolation(const std::string& aViolation)
 {
--- a/tests/explorer/simulation.h
+++ b/tests/explorer/simulation.h
@@ -72,7 +72,7 @@
   void Execute(int aNode, const CallServer& aEffect);
   void Execute(int aNode, const AbortCall& aEffect);
   void Execute(int aNode, const SendToPeer& aEffect);
-  void Execute(int aNode, const ExitProcess& aEffect);
+  void Execute(int aNode, const ExitProcess&) { Kill(aNode); }
   template<class Other>
   void Execute(int, const Other&)
   {
@@ -82,7 +82,12 @@
   bool IsFaultActive(FaultKind aKind, int aNode, int aOther) const;
   int NodeOf(const SendToPeer& aEffect) const;
   bool IsUp(int aNode, const NodeId& aId) const;
-  void Record(const TraceLine& aLine);
+  void Record(const TraceLine& aLine)
+  {
+    if (mRecording == Recording::kOn) {
+      mResult.mTrace.push_back(aLine);
+    }
+  }
   void RecordViolation(const std::string& aViolation);
 
   Schedule mSchedule;
