One copy of shared parts, and comments in the field's terms

Cause: a reading of the whole change. Change: OncePerStart, MemberLog, StoreReader::PublishItems and RequestFor hold these once.

--- a/packages/core/include/heatherfork/detail/relay/content_guard.h
+++ b/packages/core/include/heatherfork/detail/relay/content_guard.h
@@ -42,10 +42,10 @@
           const ContentReport& aReport);
   bool OnReplicas(RelayContext& aContext, const Replicas& aReplicas);
 
-  /// Another replica uses the address of aServer.
+  /// Another replica now uses the address of aServer.
   bool OnReplaced(RelayContext& aContext, const ServerName& aServer);
 
-  /// Tells new nodes what crashed replicas before.
+  /// Reports earlier crashes to new nodes.
   void OnJoined(RelayContext& aContext, const std::vector<NodeId>& aNodes);
   void OnTimer(RelayContext& aContext);
 
--- a/packages/core/include/heatherfork/detail/relay/heard_limits.h
+++ b/packages/core/include/heatherfork/detail/relay/heard_limits.h
@@ -4,19 +4,19 @@
 #include <optional>
 #include <vector>
 
+#include "heatherfork/detail/relay/once_per_start.h"
 #include "heatherfork/detail/relay/relay_context.h"
-#include "heatherfork/detail/relay/replica_starts.h"
 #include "heatherfork/server_limit.h"
 
 /// Limits that replicas named in answers to this node.
 namespace heatherfork::detail {
 
-/// Reports what this node hears to the schedulers that place on the replicas.
+/// Reports received limits to the schedulers that place on the replicas.
 class HeardLimits
 {
 public:
   /// An answer named a limit, or named none though one is in force. Returns
-  /// whether a scheduler must hear of it now.
+  /// whether it must be reported to a scheduler now.
   bool OnAnswer(RelayContext& aContext,
                 const Replica& aReplica,
                 const std::optional<RequestRate>& aRate);
@@ -32,7 +32,7 @@
   void OnReplicas(const Replicas& aReplicas);
   void OnNodeGone(const NodeId& aNode) { mReportedAt.erase(aNode); }
 
-  /// The limits in force, by what this node has heard.
+  /// The limits in force, as received by this node.
   std::vector<ServerLimit> All(Instant aNow) const;
 
 private:
@@ -45,7 +45,7 @@
   };
 
   std::map<ServerName, Heard> mHeard;
-  ReplicaStarts mMalformed;
+  OncePerStart mMalformed;
   std::map<NodeId, Instant> mReportedAt;
 };
 
--- a/packages/core/include/heatherfork/detail/relay/leaving_replicas.h
+++ b/packages/core/include/heatherfork/detail/relay/leaving_replicas.h
@@ -5,15 +5,15 @@
 #include "heatherfork/peer_message.h"
 #include "heatherfork/routing.h"
 
-/// Remembers which replicas are leaving.
+/// Marks of leaving replicas.
 namespace heatherfork::detail {
 
-/// An incarnation of a replica that has said that it leaves does not take work
-/// again, whatever an older entry of it says.
+/// An incarnation of a replica that is leaving never becomes ready again, even
+/// if an older entry of it reappears.
 class LeavingReplicas
 {
 public:
-  /// Returns whether it was not known.
+  /// Returns whether the mark is new.
   bool Add(Instant aNow, const LeavingServer& aServer);
   bool Contains(const Replica& aReplica) const;
 
--- a/packages/core/include/heatherfork/detail/relay/replica_starts.h
+++ b/packages/core/include/heatherfork/detail/relay/once_per_start.h
@@ -2,16 +2,15 @@
 
 #include <map>
 
-#include "heatherfork/routing.h"
+#include "heatherfork/detail/relay/relay_context.h"
 
-/// Remembers one thing about each start of a replica.
+/// Log lines of which each start of a replica gets one.
 namespace heatherfork::detail {
 
-class ReplicaStarts
+class OncePerStart
 {
 public:
-  /// Returns whether this start of the replica is new.
-  bool Add(const Replica& aReplica);
+  void Log(RelayContext& aContext, const char* aEvent, const Replica& aReplica);
 
   /// Drops replicas that are gone or have started again.
   void OnReplicas(const Replicas& aReplicas);
@@ -20,7 +19,7 @@
   std::map<ServerName, std::int64_t> mStarts;
 };
 
-/// Whether the replica is there, in the same incarnation.
+/// Whether the replica is published, in the same incarnation.
 bool
 IsCurrent(const Replicas& aReplicas,
           const ServerName& aServer,
--- a/packages/core/include/heatherfork/detail/relay/relay_requests.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_requests.h
@@ -134,19 +134,19 @@
   /// Whether the request became a suspect after its placement was asked for.
   bool IsUnknownSuspect(const OpenRequest& aRequest,
                         const RelayPlacement& aPlacement) const;
-  /// Time until a replica that the request needs takes requests of this node
-  /// again; empty if one takes them now, or if there is none.
+  /// Time until a replica accepts the request if all have asked for a backoff;
+  /// empty otherwise.
   std::optional<Duration> BackoffFor(RelayContext& aContext,
                                      const OpenRequest& aRequest) const;
-  bool WantsNoRequests(RelayContext& aContext, const ServerName& aServer) const;
+  bool IsBackedOff(RelayContext& aContext, const ServerName& aServer) const;
 
-  /// How a placement ends whose server did not take the request. A server that
-  /// named a time is sound.
+  /// Result of a placement whose server rejected the request. A backoff is not
+  /// a failure.
   PlacementResult ResultOfRejection(RelayContext& aContext,
                                     const ServerName& aServer) const;
-  void RefuseForBackoff(RelayContext& aContext,
-                        OpenRequest& aRequest,
-                        Duration aBackoff);
+  void RefuseUntilBackoffEnds(RelayContext& aContext,
+                              OpenRequest& aRequest,
+                              Duration aBackoff);
   PlaceRequest MakePlaceRequest(RelayContext& aContext,
                                 const OpenRequest& aRequest,
                                 const RelayPlacement& aPlacement);
--- a/packages/core/include/heatherfork/detail/relay/replica_registry.h
+++ b/packages/core/include/heatherfork/detail/relay/replica_registry.h
@@ -10,19 +10,19 @@
 namespace heatherfork::detail {
 
 /// Replica entries expire during an outage of the store, although the replicas
-/// are alive, or are lost when it goes back to an earlier state, and are
-/// written again soon after it. An entry that vanishes around either is
+/// are alive, or are lost when it is restored from an earlier state, and are
+/// written again soon afterwards. An entry that vanishes around either is
 /// retained until then.
 class ReplicaRegistry
 {
 public:
   void OnStoreReachability(Instant aNow, bool aIsReachable);
-  void OnStoreWentBack(Instant aNow);
+  void OnStoreRestored(Instant aNow);
 
   /// Replaces the published replicas.
   void OnPublished(Instant aNow, Replicas aPublished);
 
-  /// The replica has said that it is leaving. Returns whether it was not known.
+  /// Marks a replica as leaving. Returns whether the mark is new.
   bool MarkLeaving(Instant aNow, const LeavingServer& aServer);
 
   /// The replicas that are leaving though their entries do not say so.
@@ -46,7 +46,7 @@
   bool mIsStoreReachable = false;
   bool mWasStoreLost = false; ///< The store has been unreachable once.
   Instant mStoreReachableSince{};
-  Instant mUnreliableUntil{}; ///< After the store went back.
+  Instant mUnreliableUntil{}; ///< After the store was restored.
 };
 
 } // namespace heatherfork::detail
--- a/packages/core/include/heatherfork/detail/relay/server_backoffs.h
+++ b/packages/core/include/heatherfork/detail/relay/server_backoffs.h
@@ -3,28 +3,28 @@
 #include <map>
 #include <vector>
 
+#include "heatherfork/detail/relay/once_per_start.h"
 #include "heatherfork/detail/relay/relay_context.h"
-#include "heatherfork/detail/relay/replica_starts.h"
 
-/// Times for which replicas want no requests from this node.
+/// Backoffs that replicas have asked this node for.
 namespace heatherfork::detail {
 
 class ServerBackoffs
 {
 public:
-  /// The replica turned a request away and named a time. Returns whether the
-  /// time is a new one.
+  /// The replica rejected a request and asked for a backoff. Returns whether
+  /// none was in force.
   bool OnNamed(RelayContext& aContext,
                const Replica& aReplica,
                Duration aBackoff);
 
-  /// It named no valid time. Logged once for each start of a replica.
+  /// The backoff is invalid. Logged once for each start of a replica.
   void OnMalformed(RelayContext& aContext, const Replica& aReplica);
 
-  /// The time that is left; 0 if the replica takes requests.
+  /// Time until the replica accepts requests again; 0 if it does now.
   Duration Left(Instant aNow, const ServerName& aServer) const;
 
-  /// The replicas that want no requests.
+  /// The replicas with a backoff in force.
   std::vector<ServerName> All(Instant aNow) const;
 
   bool Empty() const { return mUntil.empty(); }
@@ -41,7 +41,7 @@
   };
 
   std::map<ServerName, Until> mUntil;
-  ReplicaStarts mMalformed;
+  OncePerStart mMalformed;
 };
 
 } // namespace heatherfork::detail
--- a/packages/core/include/heatherfork/detail/scheduling/predictive_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/predictive_scheduler.h
@@ -33,7 +33,7 @@
 
   void OnNodeGone(Context& aContext, const NodeId& aNode) override;
 
-  /// Applies the limits that a node has heard; the one heard last holds.
+  /// Applies the limits that a node has received; the latest one holds.
   void On(Context& aContext, const NodeId& aFrom, const LimitReport& aReport);
 
   /// Drops the limit of a server that is gone or has started again.
--- a/packages/core/include/heatherfork/ids.h
+++ b/packages/core/include/heatherfork/ids.h
@@ -83,8 +83,8 @@
 /// A configuration revision. Increases with each publication.
 using Revision = std::uint64_t;
 
-/// Counts how often the platform's store went back to an earlier state. Its
-/// revisions are ordered within one era only.
+/// Counts how often the platform's store was restored from an earlier state.
+/// Its revisions are ordered within one era only.
 using StoreEra = std::uint64_t;
 
 } // namespace heatherfork
--- a/packages/core/include/heatherfork/peer_message.h
+++ b/packages/core/include/heatherfork/peer_message.h
@@ -252,7 +252,7 @@
   auto operator<=>(const ContentReport&) const = default;
 };
 
-/// Limits that the sender has heard from servers.
+/// Limits that the sender has received from servers.
 struct LimitReport
 {
   std::vector<ServerLimit> mLimits;
@@ -267,7 +267,7 @@
   auto operator<=>(const LeavingServer&) const = default;
 };
 
-/// Servers that have said in answers that they are leaving.
+/// Servers whose answers say that they are leaving.
 struct LeavingReport
 {
   std::vector<LeavingServer> mServers;
--- a/packages/core/include/heatherfork/relay_event.h
+++ b/packages/core/include/heatherfork/relay_event.h
@@ -67,12 +67,11 @@
   auto operator<=>(const RelayLeavingSeen&) const = default;
 };
 
-/// A replica turned the call away and named a time for which it wants no
-/// requests from this node.
+/// A replica rejected the call and asked this node to back off.
 struct RelayBackoffSeen
 {
   RelayCallId mCall;
-  std::optional<Duration> mBackoff; ///< Empty if the time is malformed.
+  std::optional<Duration> mBackoff; ///< Empty if it is malformed.
   auto operator<=>(const RelayBackoffSeen&) const = default;
 };
 
@@ -130,11 +129,11 @@
   auto operator<=>(const StoreReachabilityChanged&) const = default;
 };
 
-/// The store went back to an earlier state: entries may be missing until their
-/// replicas write them again.
-struct StoreWentBack
+/// The store was restored from an earlier state: entries may be missing until
+/// their replicas write them again.
+struct StoreRestored
 {
-  auto operator<=>(const StoreWentBack&) const = default;
+  auto operator<=>(const StoreRestored&) const = default;
 };
 
 using RelayEventBody = std::variant<RelayRequestArrived,
@@ -149,7 +148,7 @@
                                     RoutingRead,
                                     ReplicasRead,
                                     StoreReachabilityChanged,
-                                    StoreWentBack,
+                                    StoreRestored,
                                     PeerReceived,
                                     PeerLost,
                                     TimerFired,
--- a/packages/core/include/heatherfork/server_limit.h
+++ b/packages/core/include/heatherfork/server_limit.h
@@ -6,7 +6,7 @@
 #include "heatherfork/ids.h"
 #include "heatherfork/time.h"
 
-/// Limits on requests that servers name while they are in need.
+/// Limits on requests that servers set under load.
 namespace heatherfork {
 
 /// A rate in requests per 1000 seconds, so that slow rates are exact.
@@ -21,7 +21,7 @@
   auto operator<=>(const RequestRate&) const = default;
 };
 
-/// What a server last said of its limit, as a node heard it.
+/// A server's last known limit, as received by a node.
 struct ServerLimit
 {
   ServerName mServer;
--- a/packages/core/src/membership/membership.cpp
+++ b/packages/core/src/membership/membership.cpp
@@ -239,9 +239,9 @@
   SendOwnRecord(aContext, member->mNode, member->mPeerAddress);
 }
 
-// A node that starts at the address of another one may know none of those that
-// went on, when its seeds have just started as well. So whatever runs at the
-// address of a node that does not answer is asked, until it is known.
+// When several nodes restart together, their seeds may know none of the nodes
+// that kept running. So the address of an unresponsive node is probed for a new
+// incarnation until one is known.
 void
 Membership::ProbeSuccessors(Context& aContext)
 {
--- a/packages/core/src/relay/content_guard.cpp
+++ b/packages/core/src/relay/content_guard.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// A node that starts hears of refused content well before its first requests
-// could matter, and each message may be lost.
+// New nodes accept requests soon after their start, and each message may be
+// lost.
 constexpr Duration kShareInterval = Milliseconds(500);
 constexpr int kSharePeers = 2;
 
@@ -27,8 +27,8 @@
 constexpr std::size_t kMaxKnownCrashes = 16;
 constexpr Duration kKnownCrashLifetime = Milliseconds(60000);
 
-// Nodes that tell a new one of earlier crashes. They have been there for a
-// while themselves.
+// Number of nodes that report earlier crashes to a new node. They must not be
+// new themselves.
 constexpr int kTellingNodes = 2;
 constexpr Duration kNewNodeTime = Milliseconds(10000);
 
@@ -154,7 +154,7 @@
   }
 }
 
-// A replica that accepts a connection may have been started again before it.
+// A replica that accepts a connection may have restarted before the check.
 bool
 ContentGuard::On(RelayContext& aContext, const ServerChecked& aEvent)
 {
@@ -364,8 +364,8 @@
   return isNewlyRefused;
 }
 
-// Random peers are told again and again, so that nodes that start or missed a
-// message hear of it without a question.
+// Repeated to random peers, so that nodes that start or missed a message
+// receive it without a request.
 void
 ContentGuard::OnTimer(RelayContext& aContext)
 {
--- a/packages/core/src/relay/heard_limits.cpp
+++ b/packages/core/src/relay/heard_limits.cpp
@@ -45,10 +45,7 @@
 void
 HeardLimits::OnMalformed(RelayContext& aContext, const Replica& aReplica)
 {
-  if (mMalformed.Add(aReplica)) {
-    aContext.Emit(RelayLogEntry{
-      "server-limit-malformed", "", "server=" + aReplica.mName.mValue });
-  }
+  mMalformed.Log(aContext, "server-limit-malformed", aReplica);
 }
 
 void
--- a/packages/core/src/relay/leaving_replicas.cpp
+++ b/packages/core/src/relay/leaving_replicas.cpp
@@ -35,8 +35,8 @@
   return it != mMarks.end() && it->second.mStartedAt == aReplica.mStartedAt;
 }
 
-// A replica whose entry names no start can't be told apart from its next one,
-// so its mark ends with the entry.
+// Without a start in the entry, the next incarnation can't be distinguished, so
+// the mark is removed with the entry.
 void
 LeavingReplicas::OnPublished(Instant aNow, const Replicas& aPublished)
 {
--- a/packages/core/src/relay/replica_starts.cpp
+++ b/packages/core/src/relay/once_per_start.cpp
@@ -1,19 +1,23 @@
-#include "heatherfork/detail/relay/replica_starts.h"
+#include "heatherfork/detail/relay/once_per_start.h"
 
 namespace heatherfork::detail {
 
-bool
-ReplicaStarts::Add(const Replica& aReplica)
+void
+OncePerStart::Log(RelayContext& aContext,
+                  const char* aEvent,
+                  const Replica& aReplica)
 {
   const auto [it, isNew] =
     mStarts.try_emplace(aReplica.mName, aReplica.mStartedAt);
-  const bool isNewStart = isNew || it->second != aReplica.mStartedAt;
-  it->second = aReplica.mStartedAt;
-  return isNewStart;
+  if (isNew || it->second != aReplica.mStartedAt) {
+    it->second = aReplica.mStartedAt;
+    aContext.Emit(
+      RelayLogEntry{ aEvent, "", "server=" + aReplica.mName.mValue });
+  }
 }
 
 void
-ReplicaStarts::OnReplicas(const Replicas& aReplicas)
+OncePerStart::OnReplicas(const Replicas& aReplicas)
 {
   std::erase_if(mStarts, [&](const auto& aItem) {
     return !IsCurrent(aReplicas, aItem.first, aItem.second);
--- a/packages/core/src/relay/relay_backoff.cpp
+++ b/packages/core/src/relay/relay_backoff.cpp
@@ -8,16 +8,15 @@
 
 using Phase = OpenRequest::Phase;
 
-// Callers that were refused meanwhile must not all come back at the moment at
-// which the replica does.
+// Spreads the retries of the callers that were refused during the backoff.
 constexpr int kSpreadDivisor = 4;
 constexpr Duration kMaxSpread = Milliseconds(500);
 
 } // namespace
 
 bool
-RelayRequests::WantsNoRequests(RelayContext& aContext,
-                               const ServerName& aServer) const
+RelayRequests::IsBackedOff(RelayContext& aContext,
+                           const ServerName& aServer) const
 {
   return mBackoffs.Left(aContext.Now(), aServer) > Duration{};
 }
@@ -26,8 +25,8 @@
 RelayRequests::ResultOfRejection(RelayContext& aContext,
                                  const ServerName& aServer) const
 {
-  return WantsNoRequests(aContext, aServer) ? PlacementResult::kAbandoned
-                                            : PlacementResult::kServerFailed;
+  return IsBackedOff(aContext, aServer) ? PlacementResult::kAbandoned
+                                        : PlacementResult::kServerFailed;
 }
 
 std::optional<Duration>
@@ -39,8 +38,8 @@
   }
   struct Pool
   {
-    bool mTakesRequests = false;
-    bool mIsInNeed = false;
+    bool mIsAvailable = false;
+    bool mHasBackoff = false;
     Duration mShortest = Duration::max();
   };
   std::map<Role, Pool> pools;
@@ -54,15 +53,15 @@
       excluded.end();
     const Duration left = mBackoffs.Left(aContext.Now(), replica.mName);
     Pool& pool = pools[replica.mRole];
-    pool.mTakesRequests =
-      pool.mTakesRequests || (left == Duration{} && !isExcluded);
-    pool.mIsInNeed = pool.mIsInNeed || left > Duration{};
-    // An excluded replica may take the request when it comes again.
+    pool.mIsAvailable =
+      pool.mIsAvailable || (left == Duration{} && !isExcluded);
+    pool.mHasBackoff = pool.mHasBackoff || left > Duration{};
+    // The caller's next attempt may use an excluded replica.
     pool.mShortest = std::min(pool.mShortest, left);
   }
   std::optional<Duration> longest;
   for (const auto& [role, pool] : pools) {
-    if (!pool.mTakesRequests && pool.mIsInNeed) {
+    if (!pool.mIsAvailable && pool.mHasBackoff) {
       longest = std::max(longest, std::optional(pool.mShortest));
     }
   }
@@ -70,13 +69,13 @@
 }
 
 void
-RelayRequests::RefuseForBackoff(RelayContext& aContext,
-                                OpenRequest& aRequest,
-                                Duration aBackoff)
+RelayRequests::RefuseUntilBackoffEnds(RelayContext& aContext,
+                                      OpenRequest& aRequest,
+                                      Duration aBackoff)
 {
   const std::string message = "all replicas of service \"" +
                               aRequest.mService.mValue +
-                              "\" want no requests from this node";
+                              "\" have asked this node to back off";
   if (aRequest.mHasSentEvents) {
     AbortStream(aContext, aRequest, "reason=" + Quoted(message));
     return;
@@ -109,7 +108,7 @@
   if (!mBackoffs.OnNamed(aContext, *called, *aEvent.mBackoff)) {
     return;
   }
-  // What waits for replicas of this service may have none left.
+  // Waiting requests of this service may have no replica left.
   const ServiceName service = called->mService;
   std::vector<CallerId> hopeless;
   for (const auto& [caller, request] : mOpen) {
@@ -121,7 +120,7 @@
   for (const CallerId caller : hopeless) {
     OpenRequest& request = *Find(caller);
     EndPlacement(aContext, request, PlacementResult::kAbandoned, {}, 0);
-    RefuseForBackoff(aContext, request, *BackoffFor(aContext, request));
+    RefuseUntilBackoffEnds(aContext, request, *BackoffFor(aContext, request));
   }
 }
 
--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -56,7 +56,7 @@
   const Placed placed = aRequest.mPlacement.mPlaced;
   for (const ServerName& name : { placed.mPrefill, placed.mServer }) {
     const Replica* replica = FindReplica(aContext.mReplicas, name);
-    if (!name.Empty() && WantsNoRequests(aContext, name)) {
+    if (!name.Empty() && IsBackedOff(aContext, name)) {
       EndPlacement(aContext, aRequest, PlacementResult::kAbandoned, {}, 0);
       Place(aContext, aRequest, false);
       return;
@@ -222,7 +222,7 @@
     if (RefuseCrashingContent(aContext, aRequest)) {
       return;
     }
-    if (WantsNoRequests(aContext, aRequest.mPlacement.mPlaced.mServer)) {
+    if (IsBackedOff(aContext, aRequest.mPlacement.mPlaced.mServer)) {
       aRequest.mPhase = Phase::kAnswering;
       RelayCallEnded notSent = aEnded;
       notSent.mResult = RelayResult::kNotSent;
@@ -294,7 +294,7 @@
   const bool isPrefillSuspect =
     aRequest.mPhase == Phase::kAnswering &&
     aEnded.mResult == RelayResult::kNotRun &&
-    !WantsNoRequests(aContext, aRequest.mPlacement.mPlaced.mServer) &&
+    !IsBackedOff(aContext, aRequest.mPlacement.mPlaced.mServer) &&
     !aRequest.mPlacement.mPlaced.mPrefill.Empty();
   const bool wasPrefill = aRequest.mPhase == Phase::kPrefilling;
   const ServerName failed = wasPrefill ? aRequest.mPlacement.mPlaced.mPrefill
@@ -306,7 +306,7 @@
     aRequest.mExcluded.push_back(aRequest.mPlacement.mPlaced.mPrefill);
   }
   if (const auto backoff = BackoffFor(aContext, aRequest)) {
-    RefuseForBackoff(aContext, aRequest, *backoff);
+    RefuseUntilBackoffEnds(aContext, aRequest, *backoff);
     return;
   }
   if (aRequest.mCountedCalls < kMaxCountedCalls &&
@@ -408,11 +408,11 @@
 void
 RelayRequests::ReleaseKv(RelayContext& aContext, OpenRequest& aRequest)
 {
-  // The call would count for the limit of a replica, or come while it wants no
-  // requests, and the cache lapses by itself.
+  // The call would count towards the replica's limit or ignore its backoff, and
+  // the cache expires by itself.
   const Placed& placed = aRequest.mPlacement.mPlaced;
   if (!aRequest.mCacheId.empty() && !placed.mIsLimited &&
-      !WantsNoRequests(aContext, placed.mPrefill)) {
+      !IsBackedOff(aContext, placed.mPrefill)) {
     aContext.Emit(FreeKv{ aRequest.mKvHolder, aRequest.mCacheId });
   }
   aRequest.mCacheId.clear();
--- a/packages/core/src/relay/relay_places.cpp
+++ b/packages/core/src/relay/relay_places.cpp
@@ -117,7 +117,7 @@
 {
   aRequest.mPhase = Phase::kPlacing;
   if (const auto backoff = BackoffFor(aContext, aRequest)) {
-    RefuseForBackoff(aContext, aRequest, *backoff);
+    RefuseUntilBackoffEnds(aContext, aRequest, *backoff);
     return;
   }
   if (!SendPlaceRequest(aContext, aRequest, aRequest.mPlacement, aIsLocal)) {
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "heatherfork/detail/membership/membership.h"
+#include "heatherfork/detail/relay/member_log.h"
 #include "heatherfork/detail/relay/pools.h"
 #include "heatherfork/detail/relay/relay_peers.h"
 #include "heatherfork/detail/relay/relay_requests.h"
@@ -24,8 +25,8 @@
 // still use a list of nodes that includes this one.
 constexpr Duration kLeavingAcceptDuration = Milliseconds(3000);
 
-// A node that starts, or misses a message, hears of leaving replicas well
-// before the operators' bound.
+// A node that starts, or misses a message, learns of leaving replicas well
+// within the operators' bound.
 constexpr Duration kShareLeavingInterval = Milliseconds(500);
 constexpr int kShareLeavingPeers = 2;
 
@@ -51,7 +52,7 @@
   void On(RelayContext& aContext, const RoutingRead& aEvent);
   void On(RelayContext& aContext, const ReplicasRead& aEvent);
   void On(RelayContext& aContext, const StoreReachabilityChanged& aEvent);
-  void On(RelayContext& aContext, const StoreWentBack& aEvent);
+  void On(RelayContext& aContext, const StoreRestored& aEvent);
   void On(RelayContext& aContext, const PeerReceived& aEvent);
   void On(RelayContext& aContext, const PeerLost& aEvent);
   void On(RelayContext& aContext, const TimerFired& aEvent);
@@ -61,7 +62,7 @@
   void ShareLeaving(RelayContext& aContext);
   void ApplyReplicas(RelayContext& aContext);
   void RebuildConfiguration(RelayContext& aContext);
-  void LogMemberChanges(RelayContext& aContext);
+  void ApplyMemberChanges(RelayContext& aContext);
   bool ShouldRefuseNew(Instant aNow) const;
   double BudgetShare();
 
@@ -77,9 +78,8 @@
   detail::Membership mMembership;
   detail::RelayRequests mRequests;
   std::vector<NodeId> mGoneNodes; ///< Detected during the current event.
-  Members mLoggedMembers;
-  std::uint64_t mLoggedView = 0; ///< Of mLoggedMembers.
-  double mBudgetShare = 1;       ///< At mShareView.
+  detail::MemberLog mMemberLog;
+  double mBudgetShare = 1; ///< At mShareView.
   std::uint64_t mShareView = 0;
   Instant mLeavingSharedAt{};
   bool mIsLeaving = false;
@@ -257,9 +257,9 @@
 }
 
 void
-RelayReducer::State::On(RelayContext& aContext, const StoreWentBack&)
+RelayReducer::State::On(RelayContext& aContext, const StoreRestored&)
 {
-  mReplicaRegistry.OnStoreWentBack(aContext.Now());
+  mReplicaRegistry.OnStoreRestored(aContext.Now());
 }
 
 void
@@ -389,7 +389,7 @@
 RelayReducer::State::On(RelayContext& aContext, const TimerFired& aEvent)
 {
   mMembership.On(aContext.mShared, aEvent);
-  LogMemberChanges(aContext);
+  ApplyMemberChanges(aContext);
   if (mReplicaRegistry.Expire(aContext.Now())) {
     ApplyReplicas(aContext);
   }
@@ -410,47 +410,14 @@
 }
 
 void
-RelayReducer::State::LogMemberChanges(RelayContext& aContext)
+RelayReducer::State::ApplyMemberChanges(RelayContext& aContext)
 {
-  if (mLoggedView == mMembership.ViewNumber()) {
-    return;
-  }
-  mLoggedView = mMembership.ViewNumber();
-  const Members& members = mMembership.All();
-  if (members.size() == mLoggedMembers.size() &&
-      std::equal(members.begin(),
-                 members.end(),
-                 mLoggedMembers.begin(),
-                 [](const Member& aOne, const Member& aTwo) {
-                   return aOne.mStatus == aTwo.mStatus &&
-                          aOne.mNode == aTwo.mNode;
-                 })) {
-    return;
-  }
-  // A line for each node that joins would be the square of the fleet's size in
-  // lines when all nodes start.
-  std::vector<NodeId> joined;
-  for (const Member& member : members) {
-    const Member* logged = FindMember(mLoggedMembers, member.mNode);
-    if (logged == nullptr && member.mStatus == MemberStatus::kAlive) {
-      joined.push_back(member.mNode);
-    } else if (logged == nullptr || logged->mStatus != member.mStatus) {
-      aContext.Emit(RelayLogEntry{ "member",
-                                   "",
-                                   "node=" + member.mNode.mName.mValue +
-                                     " status=" + ToString(member.mStatus) });
-    }
-  }
-  if (!joined.empty()) {
-    aContext.Emit(
-      RelayLogEntry{ "members-joined",
-                     "",
-                     "joined=" + std::to_string(joined.size()) +
-                       " known=" + std::to_string(members.size()) });
+  const detail::MemberLog::Changes changes =
+    mMemberLog.Update(aContext, mMembership.ViewNumber());
+  if (changes.mAny) {
+    mRequests.OnNodesJoined(aContext, changes.mJoined);
+    mRequests.UpdateSchedulers(aContext);
   }
-  mLoggedMembers = members;
-  mRequests.OnNodesJoined(aContext, joined);
-  mRequests.UpdateSchedulers(aContext);
 }
 
 void
--- a/packages/core/src/relay/replica_registry.cpp
+++ b/packages/core/src/relay/replica_registry.cpp
@@ -23,7 +23,7 @@
 }
 
 void
-ReplicaRegistry::OnStoreWentBack(Instant aNow)
+ReplicaRegistry::OnStoreRestored(Instant aNow)
 {
   mUnreliableUntil = aNow + kRepublishDelay;
 }
--- a/packages/core/src/relay/server_backoffs.cpp
+++ b/packages/core/src/relay/server_backoffs.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// A longer time is a mistake: it would take the replica out of use.
+// A longer backoff would take the replica out of use, so it is invalid.
 constexpr Duration kMaxBackoff = Milliseconds(3600000);
 
 } // namespace
@@ -44,10 +44,7 @@
 void
 ServerBackoffs::OnMalformed(RelayContext& aContext, const Replica& aReplica)
 {
-  if (mMalformed.Add(aReplica)) {
-    aContext.Emit(RelayLogEntry{
-      "server-backoff-malformed", "", "server=" + aReplica.mName.mValue });
-  }
+  mMalformed.Log(aContext, "server-backoff-malformed", aReplica);
 }
 
 Duration
--- a/packages/core/src/scheduling/dispatch_pass.cpp
+++ b/packages/core/src/scheduling/dispatch_pass.cpp
@@ -183,7 +183,7 @@
 DispatchPass::Find(const QueuedRequest& aRequest, Lane aLane, int aPieces) const
 {
   const PlaceRequest& place = aRequest.mPlace;
-  // The servers that take the load of the ejected ones must not be excluded.
+  // Ejection shifts load to other servers, which may all be excluded.
   const bool mayUseEjected =
     std::all_of(mDecode.begin(), mDecode.end(), [&](const DecodeView& aView) {
       return aView.mIsEjected || IsExcluded(**aView.mState, place);
--- a/packages/core/src/scheduling/server_limiter.cpp
+++ b/packages/core/src/scheduling/server_limiter.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Without any request nobody would hear that a limit is gone.
+// Without any request nobody would notice the end of a limit.
 constexpr double kMinRate = 0.25;
 
 // Requests that were held back must not arrive together when a limit ends.
--- a/packages/relay/include/heatherfork/detail/relay/store_reader.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_reader.h
@@ -24,8 +24,8 @@
   /// Called after each watch whose changes may be sent to other nodes.
   std::function<void(const StoreUpdate&)> mOnUpdate;
 
-  /// Called before mOnItems when the items are of a later era than before.
-  std::function<void(StoreEra)> mOnWentBack;
+  /// Called before mOnItems if the items are of a later era than the last ones.
+  std::function<void(StoreEra)> mOnRestored;
 
   StoreCopy::Differs mDiffers;
 };
@@ -80,8 +80,7 @@
   void HandleFailure(const std::string& aReason);
   void MarkReachable(const char* aSource);
 
-  /// Hands out items that replaced those of a former era and revision.
-  void PublishItems(StoreEra aFormerEra, Revision aFormerRevision);
+  void PublishItems();
 
   IoLoop& mLoop;
   const RelayWire& mWire;
@@ -90,6 +89,7 @@
   StoreHooks mHooks;
   StoreCopy mCopy;
   StorePacing mPacing;
+  std::optional<StoreEra> mPublishedEra; ///< Of the items published last.
 
   ServerConnectionPtr mConnection;
   ServerConnectionPtr mRetiredConnection; ///< Destroyed after its callback.
--- a/packages/relay/include/heatherfork/detail/relay/store_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_watch.h
@@ -47,7 +47,7 @@
 private:
   void OnRoutingItems(const StoreReader::Items& aItems);
   void OnReplicaItems(const StoreReader::Items& aItems);
-  void OnWentBack(const char* aName, StoreEra aEra);
+  void OnRestored(const char* aName, StoreEra aEra);
   void OnReachability(const char* aName,
                       bool aIsReachable,
                       const std::string& aReason);
--- a/packages/relay/include/heatherfork/relay_wire.h
+++ b/packages/relay/include/heatherfork/relay_wire.h
@@ -30,7 +30,7 @@
   std::optional<RequestRate> mLimit;
   bool mIsLimitMalformed = false;
   bool mIsLeaving = false; ///< The replica takes no new requests.
-  /// For how long a replica that turned the request away wants none.
+  /// Requested by a replica that rejected the request.
   std::optional<Duration> mBackoff;
   bool mIsBackoffMalformed = false;
 };
--- a/packages/relay/src/store_copy.cpp
+++ b/packages/relay/src/store_copy.cpp
@@ -25,8 +25,8 @@
   return std::tie(aEra, aAt) > std::tie(mEra, mAt);
 }
 
-// Since the call was made, the store may have gone back, or a peer's copy may
-// have replaced this one.
+// Since the call was made, the store may have been restored, or a peer's copy
+// may have replaced this one.
 StoreCopy::AnswerFit
 StoreCopy::Check(const StoreCall& aCall, const StoreAnswer& aAnswer) const
 {
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -119,19 +119,18 @@
 void
 StoreReader::ApplyPeerSnapshot(StoreEra aEra, Revision aAt, Items aItems)
 {
-  const StoreEra formerEra = mCopy.HeldEra();
-  const Revision formerRevision = mCopy.HeldRevision();
   if (mCopy.ApplySnapshot(aEra, aAt, std::move(aItems))) {
-    PublishItems(formerEra, formerRevision);
+    PublishItems();
   }
 }
 
 void
-StoreReader::PublishItems(StoreEra aFormerEra, Revision aFormerRevision)
+StoreReader::PublishItems()
 {
-  if (aFormerRevision != 0 && mCopy.HeldEra() > aFormerEra) {
-    mHooks.mOnWentBack(mCopy.HeldEra());
+  if (mPublishedEra && mCopy.HeldEra() > *mPublishedEra) {
+    mHooks.mOnRestored(mCopy.HeldEra());
   }
+  mPublishedEra = mCopy.HeldEra();
   mHooks.mOnItems(mCopy.HeldItems());
 }
 
@@ -148,7 +147,7 @@
   mPacing.OnPeerUpdate(SteadyNow());
   MarkReachable("a peer's update");
   if (result == StoreCopy::MergeResult::kChanged) {
-    mHooks.mOnItems(mCopy.HeldItems());
+    PublishItems();
   }
   return false;
 }
@@ -212,17 +211,15 @@
   MarkReachable("the store's answer");
   if (mCall.mKind == StoreCall::Kind::kRange) {
     mPacing.OnPage(now);
-    const StoreEra formerEra = mCopy.HeldEra();
-    const Revision formerRevision = mCopy.HeldRevision();
     if (mCopy.ApplyPage(aAnswer)) {
-      PublishItems(formerEra, formerRevision);
+      PublishItems();
     }
     return;
   }
   mPacing.OnWatchAnswer(now);
   StoreUpdate update;
   if (mCopy.ApplyWatchAnswer(aAnswer, update)) {
-    mHooks.mOnItems(mCopy.HeldItems());
+    PublishItems();
   }
   if (mPacing.CanUpdatePeers(now)) {
     mHooks.mOnUpdate(update);
--- a/packages/relay/src/store_watch.cpp
+++ b/packages/relay/src/store_watch.cpp
@@ -32,6 +32,13 @@
   return pace;
 }
 
+// Requests a copy that is newer than the reader's.
+PublishedRequest
+RequestFor(const StoreReader& aReader)
+{
+  return { aReader.Prefix(), aReader.HeldRevision(), aReader.HeldEra() };
+}
+
 } // namespace
 
 StoreWatch::StoreWatch(const RelayNodeSettings& aSettings,
@@ -55,7 +62,7 @@
           OnReachability("routing", aIsReachable, aReason);
         },
         [this](const StoreUpdate& aUpdate) { UpdatePeers(mRouting, aUpdate); },
-        [this](StoreEra aEra) { OnWentBack("routing", aEra); },
+        [this](StoreEra aEra) { OnRestored("routing", aEra); },
         [](const StoreItem& aOld, const StoreItem& aNew) {
           return aOld.mValue != aNew.mValue;
         } })
@@ -74,8 +81,8 @@
         },
         [this](const StoreUpdate& aUpdate) { UpdatePeers(mReplicas, aUpdate); },
         [this](StoreEra aEra) {
-          OnWentBack("replicas", aEra);
-          mHooks.mPost(StoreWentBack{});
+          OnRestored("replicas", aEra);
+          mHooks.mPost(StoreRestored{});
         },
         [this](const StoreItem& aOld, const StoreItem& aNew) {
           // Replicas rewrite their items as heartbeats.
@@ -151,9 +158,7 @@
     return;
   }
   const Member& peer = *others[mRandom() % others.size()];
-  mHooks.mSend(peer,
-               PublishedRequest{
-                 aReader.Prefix(), aReader.HeldRevision(), aReader.HeldEra() });
+  mHooks.mSend(peer, RequestFor(aReader));
 }
 
 void
@@ -263,9 +268,7 @@
       { item.mKey, item.mValue, item.mRevision, item.mIsDeleted });
   }
   if (reader != nullptr && reader->ApplyUpdate(taken)) {
-    SendTo(aFrom,
-           PublishedRequest{
-             reader->Prefix(), reader->HeldRevision(), reader->HeldEra() });
+    SendTo(aFrom, RequestFor(*reader));
   }
 }
 
@@ -291,10 +294,10 @@
 }
 
 void
-StoreWatch::OnWentBack(const char* aName, StoreEra aEra)
+StoreWatch::OnRestored(const char* aName, StoreEra aEra)
 {
   mLog.Add(LogLevel::kWarning,
-           "store-went-back",
+           "store-restored",
            "",
            std::string("reader=") + aName + " era=" + std::to_string(aEra));
 }
