--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,7 +4,6 @@
 get any of these bytes.
 """
 import json
-import os
 import random
 import re
 import socket
@@ -302,8 +301,6 @@
             raise RuntimeError("too few requests were served")
         return None
     finally:
-        if os.environ.get("KEEP_LOG"):
-            Path(os.environ["KEEP_LOG"]).write_text(node.log())
         node.end()
 
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -20,10 +20,14 @@
 sys.path.insert(0, str(ROOT / "tests" / "relay"))
 sys.dont_write_bytecode = True
 
+import fake_store  # noqa: E402
 from fake_store import FakeStore  # noqa: E402
 from relay_nodes import pick_free_ports  # noqa: E402
 
 HOST = "shop.example"
+
+# A node that ends resets its calls to the store, which is no error here.
+fake_store.ThreadingHTTPServer.handle_error = lambda *_: None
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
