--- a/packages/core/include/heatherfork/detail/relay/relay_requests.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_requests.h
@@ -11,6 +11,7 @@
 #include "heatherfork/detail/relay/route_table.h"
 #include "heatherfork/detail/relay/server_backoffs.h"
 #include "heatherfork/detail/relay/service_retry_budget.h"
+#include "heatherfork/detail/relay/workspace_table.h"
 #include "heatherfork/detail/scheduling/shard_chooser.h"
 #include "heatherfork/relay_effect.h"
 
@@ -47,6 +48,9 @@
   Route mRoute;
   ServiceName mService;
   bool mIsEngine = false;
+  bool mHasWorkspaces = false; ///< Workspaces were configured at its arrival.
+  WorkspaceName mWorkspace;    ///< Empty for a request without a known key.
+  int mRank = 0;               ///< Of its workspace or its route.
   Instant mArrivedAt{};
   Instant mExpiresAt{};   ///< Deadline or timeout, whichever is first.
   Instant mLastEventAt{}; ///< Of the stream at the caller, or the arrival.
@@ -75,7 +79,11 @@
 class RelayRequests
 {
 public:
-  void Update(const RoutingPtr& aRouting) { mRoutes.Update(aRouting); }
+  void Update(const RoutingPtr& aRouting)
+  {
+    mRoutes.Update(aRouting);
+    mWorkspaces.Update(aRouting);
+  }
 
   void On(RelayContext& aContext, const RelayRequestArrived& aEvent);
   void On(RelayContext& aContext, const RelayCallerDisconnected& aEvent);
@@ -130,6 +138,9 @@
   OpenRequest* FindByAttempt(const AttemptId& aAttempt);
   OpenRequest* FindByCall(const RelayCallId& aCall);
 
+  /// Finds the workspace of the request. Returns false if it was refused.
+  bool AdmitKey(RelayContext& aContext, OpenRequest& aRequest);
+
   void Refuse(RelayContext& aContext,
               OpenRequest& aRequest,
               Error aError,
@@ -263,6 +274,7 @@
   void Close(RelayContext& aContext, OpenRequest& aRequest);
 
   RouteTable mRoutes;
+  WorkspaceTable mWorkspaces;
   ShardChooser mShards;
   ServiceRetryBudget mBudget;
   ContentGuard mContentGuard;
--- a/packages/core/include/heatherfork/detail/trace/fleet_fields.h
+++ b/packages/core/include/heatherfork/detail/trace/fleet_fields.h
@@ -156,6 +156,44 @@
 inline constexpr auto kFields<LeavingReport> =
   Fields("LeavingReport", Field{ "servers", &LeavingReport::mServers });
 
+template<>
+inline constexpr auto kFields<KeyProofRequest> =
+  Fields("KeyProofRequest", Field{ "number", &KeyProofRequest::mNumber });
+
+template<>
+inline constexpr auto kFields<KeyProofReply> =
+  Fields("KeyProofReply",
+         Field{ "number", &KeyProofReply::mNumber },
+         Field{ "revision", &KeyProofReply::mRevision },
+         Field{ "age", &KeyProofReply::mAge });
+
+template<>
+inline constexpr auto kFields<QuotaNeed> =
+  Fields("QuotaNeed",
+         Field{ "workspace", &QuotaNeed::mWorkspace },
+         Field{ "wanted", &QuotaNeed::mWanted },
+         Field{ "returned", &QuotaNeed::mReturned });
+
+template<>
+inline constexpr auto kFields<QuotaRequest> =
+  Fields("QuotaRequest",
+         Field{ "number", &QuotaRequest::mNumber },
+         Field{ "needs", &QuotaRequest::mNeeds });
+
+template<>
+inline constexpr auto kFields<QuotaCredit> =
+  Fields("QuotaCredit",
+         Field{ "workspace", &QuotaCredit::mWorkspace },
+         Field{ "units", &QuotaCredit::mUnits },
+         Field{ "lifetime", &QuotaCredit::mLifetime },
+         Field{ "wait", &QuotaCredit::mWait });
+
+template<>
+inline constexpr auto kFields<QuotaGrant> =
+  Fields("QuotaGrant",
+         Field{ "number", &QuotaGrant::mNumber },
+         Field{ "credits", &QuotaGrant::mCredits });
+
 template<>
 inline constexpr auto kFields<PublishedNews> =
   Fields("PublishedNews",
--- a/packages/core/include/heatherfork/peer_message.h
+++ b/packages/core/include/heatherfork/peer_message.h
@@ -347,6 +347,58 @@
   auto operator<=>(const PublishedNews&) const = default;
 };
 
+/// Asks a node how long ago the store confirmed the routes that it has. The
+/// sender counts the answer's age from its own question.
+struct KeyProofRequest
+{
+  std::uint64_t mNumber = 0;
+  auto operator<=>(const KeyProofRequest&) const = default;
+};
+
+/// Answers a KeyProofRequest; sent only if the routes were confirmed.
+struct KeyProofReply
+{
+  std::uint64_t mNumber = 0;
+  Revision mRevision = 0; ///< Of the routes that were confirmed.
+  Duration mAge{};        ///< Since the question to the store was sent.
+  auto operator<=>(const KeyProofReply&) const = default;
+};
+
+/// Units of a workspace's quota that the sender wants, or gives back.
+struct QuotaNeed
+{
+  WorkspaceName mWorkspace;
+  std::int64_t mWanted = 0;
+  std::int64_t mReturned = 0;
+  auto operator<=>(const QuotaNeed&) const = default;
+};
+
+/// Asks the node that owns the quotas of some workspaces for credit.
+struct QuotaRequest
+{
+  std::uint64_t mNumber = 0;
+  std::vector<QuotaNeed> mNeeds;
+  auto operator<=>(const QuotaRequest&) const = default;
+};
+
+/// Units of a workspace's quota that the receiver may use.
+struct QuotaCredit
+{
+  WorkspaceName mWorkspace;
+  std::int64_t mUnits = 0;
+  Duration mLifetime{}; ///< Of the units.
+  Duration mWait{};     ///< Until more can be had; 0: all that was wanted.
+  auto operator<=>(const QuotaCredit&) const = default;
+};
+
+/// Answers a QuotaRequest.
+struct QuotaGrant
+{
+  std::uint64_t mNumber = 0;
+  std::vector<QuotaCredit> mCredits;
+  auto operator<=>(const QuotaGrant&) const = default;
+};
+
 using PeerMessage = std::variant<ForwardRequest,
                                  ForwardAnswer,
                                  PlaceRequest,
@@ -372,6 +424,10 @@
                                  PublishedNews,
                                  ContentReport,
                                  LimitReport,
-                                 LeavingReport>;
+                                 LeavingReport,
+                                 KeyProofRequest,
+                                 KeyProofReply,
+                                 QuotaRequest,
+                                 QuotaGrant>;
 
 } // namespace heatherfork
--- a/packages/core/include/heatherfork/relay_effect.h
+++ b/packages/core/include/heatherfork/relay_effect.h
@@ -31,8 +31,11 @@
   Duration mFirstByteLimit{}; ///< Silence to report before the answer; 0: none.
   Address mKvHolder;          ///< Replica with the KV cache, for kDecode.
   std::string mCacheId;
-  std::string mResumeAfter; ///< Id of an event; empty: from the start.
-  bool mIsLimited = false;  ///< Report an answer that names no limit, too.
+  std::string mResumeAfter;    ///< Id of an event; empty: from the start.
+  bool mIsLimited = false;     ///< Report an answer that names no limit, too.
+  bool mHasWorkspaces = false; ///< Names mWorkspace and withholds the key.
+  WorkspaceName mWorkspace;    ///< Of the caller; empty: none.
+  bool mNeedsKeyProof = false; ///< Not sent without a proof, see KeyProof.
   auto operator<=>(const StartCall&) const = default;
 };
 
--- a/packages/core/include/heatherfork/relay_settings.h
+++ b/packages/core/include/heatherfork/relay_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 
 #include "heatherfork/time.h"
 
@@ -19,6 +20,15 @@
   Duration mMaxLeavingDelay = Milliseconds(2000); ///< Until a leaving replica
                                                   ///< gets no new requests.
 
+  /// Until a withdrawn key is refused, whether or not the store and other nodes
+  /// can be reached; 0: no such limit.
+  Duration mMaxKeyDelay{};
+
+  // Quotas over all nodes.
+  Duration mQuotaWindow = Milliseconds(8000);
+  double mQuotaOvershoot = 0;   ///< Tolerated, as a share of the limit.
+  std::int64_t mQuotaSlack = 0; ///< Tolerated in addition, in units.
+
   Duration mGracePeriod =
     Milliseconds(8000); ///< From the stop signal to the exit.
   Duration mEntriesValidity = Milliseconds(2000);
--- a/packages/core/include/heatherfork/routing.h
+++ b/packages/core/include/heatherfork/routing.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
   Duration mStreamPatience{};
   int mMaxAttempts = 1; ///< Maximum number of replicas that run one request.
   int mRank = 0;        ///< 0 is the highest priority.
+  bool mIsAnonymous = false; ///< Needs no key where workspaces have keys.
   std::vector<RouteShare> mShares;
 
   auto operator<=>(const Route&) const = default;
@@ -61,6 +63,35 @@
   auto operator<=>(const RoutedService&) const = default;
 };
 
+/// What a quota counts.
+enum class QuotaUnit : std::uint8_t
+{
+  kRequests,
+  kTokens, ///< Prompt tokens and the most output tokens of a request.
+};
+
+/// Limit on the requests of a workspace over all nodes.
+struct WorkspaceQuota
+{
+  QuotaUnit mUnit = QuotaUnit::kRequests;
+  double mRate = 0;     ///< Units a second; 0: no limit.
+  double mBurst = 0;    ///< Units on top of the rate.
+  int mPlainTokens = 0; ///< Of a request that names no tokens.
+
+  auto operator<=>(const WorkspaceQuota&) const = default;
+};
+
+/// A workspace of opaque requests.
+struct RoutedWorkspace
+{
+  WorkspaceName mName;
+  std::vector<std::string> mKeyDigests; ///< SHA-256, in lower-case hex.
+  std::optional<int> mRank;             ///< Precedes the route's rank.
+  WorkspaceQuota mQuota;
+
+  auto operator<=>(const RoutedWorkspace&) const = default;
+};
+
 /// Size limits and timeouts of caller connections.
 struct CallerLimits
 {
@@ -78,6 +109,8 @@
   Revision mRevision = 0;
   std::vector<Route> mRoutes;
   std::vector<RoutedService> mServices;
+  bool mNeedsKeys = false; ///< Requests need the key of a workspace.
+  std::vector<RoutedWorkspace> mWorkspaces;
   CallerLimits mLimits;
 
   auto operator<=>(const Routing&) const = default;
@@ -122,11 +155,13 @@
 {
   std::string mId; ///< The caller's id of this attempt.
   std::string mHost;
-  std::string mPath;    ///< Without the query.
-  Duration mTimeLeft{}; ///< Time that the caller still waits; 0 if not given.
+  std::string mPath;      ///< Without the query.
+  Duration mTimeLeft{};   ///< Time that the caller still waits; 0 if not given.
+  std::string mKeyDigest; ///< SHA-256 of the caller's key; empty without one.
   int mPromptTokens = 0;
   int mMaxTokens = 0;
-  int mExpectedTokens = 0; ///< Estimate of the caller; 0 if not given.
+  bool mNamesTokens = false; ///< The caller gave both counts.
+  int mExpectedTokens = 0;   ///< Estimate of the caller; 0 if not given.
   std::vector<PromptPart> mParts;
   bool mIsResume = false;         ///< Resumes a stream after a given event.
   std::uint64_t mFingerprint = 0; ///< Of method, host, target and content.
--- a/packages/core/src/reducer.cpp
+++ b/packages/core/src/reducer.cpp
@@ -111,7 +111,11 @@
                            std::is_same_v<Body, PublishedNews> ||
                            std::is_same_v<Body, ContentReport> ||
                            std::is_same_v<Body, LimitReport> ||
-                           std::is_same_v<Body, LeavingReport>) {
+                           std::is_same_v<Body, LeavingReport> ||
+                           std::is_same_v<Body, KeyProofRequest> ||
+                           std::is_same_v<Body, KeyProofReply> ||
+                           std::is_same_v<Body, QuotaRequest> ||
+                           std::is_same_v<Body, QuotaGrant>) {
         // Handled by the relay only.
       } else {
         mRequests.On(aContext, aFrom, aBody);
--- a/packages/core/src/relay/pools.cpp
+++ b/packages/core/src/relay/pools.cpp
@@ -54,6 +54,14 @@
   for (const Route& route : aRouting.mRoutes) {
     ranks.insert(route.mRank);
   }
+  for (const RoutedWorkspace& routed : aRouting.mWorkspaces) {
+    if (routed.mRank) {
+      ranks.insert(*routed.mRank);
+    }
+    Workspace workspace;
+    workspace.mName = routed.mName;
+    configuration->mWorkspaces.push_back(std::move(workspace));
+  }
   for (const int rank : ranks) {
     WorkClass workClass;
     workClass.mName = ClassOfRank(rank);
--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -95,6 +95,8 @@
   call.mAddress = replica->mAddress;
   aRequest.mCalledReplica = *replica;
   call.mDeadline = aRequest.mExpiresAt;
+  call.mHasWorkspaces = aRequest.mHasWorkspaces;
+  call.mWorkspace = aRequest.mWorkspace;
   call.mIsLimited = aRequest.mPlacement.mPlaced.mIsLimited;
   call.mIsStream = route.mIsStream && aStage != RelayStage::kPrefill;
   const bool canRepeat = route.mRepeat == RepeatRule::kMayRepeat;
--- a/packages/core/src/relay/relay_places.cpp
+++ b/packages/core/src/relay/relay_places.cpp
@@ -67,7 +67,8 @@
     aRequest.mIsEngine ? RequestKind::kCompletion : RequestKind::kPlainCall;
   place.mModel.mValue = aRequest.mService.mValue;
   place.mService = aRequest.mService;
-  place.mClass = ClassOfRank(aRequest.mRoute.mRank);
+  place.mWorkspace = aRequest.mWorkspace;
+  place.mClass = ClassOfRank(aRequest.mRank);
   place.mPromptTokens = aRequest.mRequest.mPromptTokens;
   place.mMaxTokens = ReservedTokens(aRequest.mRequest);
   place.mExcluded = aRequest.mExcluded;
--- a/packages/core/src/relay/relay_requests.cpp
+++ b/packages/core/src/relay/relay_requests.cpp
@@ -144,6 +144,9 @@
     return;
   }
   open.mRoute = *route;
+  if (!AdmitKey(aContext, open)) {
+    return;
+  }
   // Equal content goes to the same service of a route with several services.
   open.mService = ChooseService(*route, received.mFingerprint);
   const RoutedService* service = mRoutes.FindService(open.mService);
@@ -155,14 +158,16 @@
     route->mTimeout > Duration{} ? std::min(left, route->mTimeout) : left;
   open.mExpiresAt = aContext.Now() + allowed;
   mBudget.OnRequest(aContext.Now(), open.mService);
-  LogRequestEvent(aContext,
-                  "taken",
-                  open,
-                  "route=" + route->mName + " service=" + open.mService.mValue +
-                    " left_ms=" + std::to_string(ToMilliseconds(allowed)) +
-                    " prompt=" + std::to_string(received.mPromptTokens) +
-                    " most=" + std::to_string(received.mMaxTokens) +
-                    " likely=" + std::to_string(received.mExpectedTokens));
+  LogRequestEvent(
+    aContext,
+    "taken",
+    open,
+    "route=" + route->mName + " service=" + open.mService.mValue +
+      (open.mWorkspace.Empty() ? "" : " tenant=" + open.mWorkspace.mValue) +
+      " left_ms=" + std::to_string(ToMilliseconds(allowed)) +
+      " prompt=" + std::to_string(received.mPromptTokens) +
+      " most=" + std::to_string(received.mMaxTokens) +
+      " likely=" + std::to_string(received.mExpectedTokens));
   if (allowed <= Duration{}) {
     OnExpired(aContext, open);
     return;
--- a/packages/node/src/settings/relay_settings.cpp
+++ b/packages/node/src/settings/relay_settings.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t kMinuteMs = 60000;
 constexpr std::size_t kMinKeyLength = 16;
 constexpr double kThousandthsPerCore = 1000;
+constexpr std::int64_t kMaxQuotaSlack = 1000000000000;
 constexpr std::size_t kBytesPerMegabyte = std::size_t{ 1 } << 20;
 
 void
@@ -62,6 +63,7 @@
   SettingsReader reader(aTable, "relay.", aResult.mMistakes);
   RelaySettings& relay = aResult.mSettings.mRelay;
   double slack = 0;
+  double quotaSlack = 0;
   reader.Read("store", aResult.mSettings.mStoreAddress, Presence::kRequired);
   reader.Read("retry_budget_ratio", relay.mRetryRatio, Range{ 0, 10 });
   reader.Read("retry_budget_slack", slack, Range{ 0, 1000000 });
@@ -71,6 +73,12 @@
     "routing_bound_ms", relay.mMaxRoutingDelay, Range{ 100, kMinuteMs });
   reader.ReadMilliseconds(
     "leaving_bound_ms", relay.mMaxLeavingDelay, Range{ 100, kMinuteMs });
+  reader.ReadMilliseconds(
+    "key_withdrawal_bound_ms", relay.mMaxKeyDelay, Range{ 0, kMinuteMs });
+  reader.ReadSeconds("quota_window_s", relay.mQuotaWindow, Range{ 1, 600 });
+  reader.Read("quota_overshoot", relay.mQuotaOvershoot, Range{ 0, 10 });
+  reader.Read("quota_slack", quotaSlack, Range{ 0, kMaxQuotaSlack });
+  relay.mQuotaSlack = static_cast<std::int64_t>(quotaSlack);
   reader.ReadSeconds("grace_s", relay.mGracePeriod, Range{ 1, 600 });
   reader.ReadMilliseconds(
     "entries_validity_ms", relay.mEntriesValidity, Range{ 1000, kMinuteMs });
--- a/packages/peer/src/codec/peer_frame.cpp
+++ b/packages/peer/src/codec/peer_frame.cpp
@@ -53,6 +53,10 @@
 HEATHERFORK_WIRE(ContentReport)
 HEATHERFORK_WIRE(LimitReport)
 HEATHERFORK_WIRE(LeavingReport)
+HEATHERFORK_WIRE(KeyProofRequest)
+HEATHERFORK_WIRE(KeyProofReply)
+HEATHERFORK_WIRE(QuotaRequest)
+HEATHERFORK_WIRE(QuotaGrant)
 #undef HEATHERFORK_WIRE
 
 // Limits on the verifier's work, so that a small frame with many references
--- a/packages/peer/src/codec/relay_fields.h
+++ b/packages/peer/src/codec/relay_fields.h
@@ -153,4 +153,73 @@
   aConverter(aCore.mEra, aWire.era);
 }
 
+static_assert(detail::trace::CountFields<KeyProofRequest>() == 1);
+template<class Converter,
+         MaybeConst<KeyProofRequest> Core,
+         MaybeConst<wire::KeyProofRequestT> Wire>
+void
+MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
+{
+  aConverter(aCore.mNumber, aWire.number);
+}
+
+static_assert(detail::trace::CountFields<KeyProofReply>() == 3);
+template<class Converter,
+         MaybeConst<KeyProofReply> Core,
+         MaybeConst<wire::KeyProofReplyT> Wire>
+void
+MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
+{
+  aConverter(aCore.mNumber, aWire.number);
+  aConverter(aCore.mRevision, aWire.revision);
+  aConverter(aCore.mAge, aWire.age);
+}
+
+static_assert(detail::trace::CountFields<QuotaNeed>() == 3);
+template<class Converter,
+         MaybeConst<QuotaNeed> Core,
+         MaybeConst<wire::QuotaNeedT> Wire>
+void
+MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
+{
+  aConverter(aCore.mWorkspace, aWire.workspace);
+  aConverter(aCore.mWanted, aWire.wanted);
+  aConverter(aCore.mReturned, aWire.returned);
+}
+
+static_assert(detail::trace::CountFields<QuotaRequest>() == 2);
+template<class Converter,
+         MaybeConst<QuotaRequest> Core,
+         MaybeConst<wire::QuotaRequestT> Wire>
+void
+MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
+{
+  aConverter(aCore.mNumber, aWire.number);
+  aConverter(aCore.mNeeds, aWire.needs);
+}
+
+static_assert(detail::trace::CountFields<QuotaCredit>() == 4);
+template<class Converter,
+         MaybeConst<QuotaCredit> Core,
+         MaybeConst<wire::QuotaCreditT> Wire>
+void
+MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
+{
+  aConverter(aCore.mWorkspace, aWire.workspace);
+  aConverter(aCore.mUnits, aWire.units);
+  aConverter(aCore.mLifetime, aWire.lifetime);
+  aConverter(aCore.mWait, aWire.wait);
+}
+
+static_assert(detail::trace::CountFields<QuotaGrant>() == 2);
+template<class Converter,
+         MaybeConst<QuotaGrant> Core,
+         MaybeConst<wire::QuotaGrantT> Wire>
+void
+MapFields(Converter& aConverter, Core& aCore, Wire& aWire)
+{
+  aConverter(aCore.mNumber, aWire.number);
+  aConverter(aCore.mCredits, aWire.credits);
+}
+
 } // namespace heatherfork::wire_map
--- a/tests/unit-peer-codec.cpp
+++ b/tests/unit-peer-codec.cpp
@@ -119,6 +119,12 @@
                    { { 3, 9 } } },
     LimitReport{ { { ServerName{ "s" }, 5, true, { 400 }, Milliseconds(7) } } },
     LeavingReport{ { { ServerName{ "s" }, 5 } } },
+    KeyProofRequest{ 7 },
+    KeyProofReply{ 7, 12, Milliseconds(300) },
+    QuotaRequest{ 8, { { WorkspaceName{ "w" }, 500, 20 } } },
+    QuotaGrant{
+      8,
+      { { WorkspaceName{ "w" }, 400, Milliseconds(1000), Milliseconds(50) } } },
   };
 }
 
