Proofs of current keys: withdrawn keys stop at every node

Cause: a node that has lost the store goes on with the keys that it has, so a withdrawn key worked on without a bound; nothing checked a key after its arrival. Change: KeyProof holds the instant whose earlier changes are surely part of the routes in force, from the node's own questions to the store and from other nodes' replies, counted from this node's question. Each call carries the time before which it must leave; the connection compares it right before the first byte. Keys are looked up again before each call; what waits with a withdrawn key gets 401. The relaying node's clock runs while the machine is suspended. Workspaces weigh by their rates; metrics by workspace, for the 32 largest.

--- a/packages/core/include/heatherfork/detail/relay/relay_requests.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_requests.h
@@ -8,12 +8,14 @@
 #include "heatherfork/detail/relay/answer_times.h"
 #include "heatherfork/detail/relay/content_guard.h"
 #include "heatherfork/detail/relay/heard_limits.h"
+#include "heatherfork/detail/relay/key_proof.h"
 #include "heatherfork/detail/relay/route_table.h"
 #include "heatherfork/detail/relay/server_backoffs.h"
 #include "heatherfork/detail/relay/service_retry_budget.h"
 #include "heatherfork/detail/relay/workspace_table.h"
 #include "heatherfork/detail/scheduling/shard_chooser.h"
 #include "heatherfork/relay_effect.h"
+#include "heatherfork/relay_reducer.h"
 
 /// Handles opaque requests on the node that received them.
 namespace heatherfork::detail {
@@ -48,8 +50,9 @@
   Route mRoute;
   ServiceName mService;
   bool mIsEngine = false;
-  bool mHasWorkspaces = false; ///< Workspaces were configured at its arrival.
+  bool mHasWorkspaces = false; ///< As of the last check of its key.
   WorkspaceName mWorkspace;    ///< Empty for a request without a known key.
+  Instant mSendBefore{};       ///< Of the newest call, see StartCall.
   int mRank = 0;               ///< Of its workspace or its route.
   Instant mArrivedAt{};
   Instant mExpiresAt{};   ///< Deadline or timeout, whichever is first.
@@ -83,6 +86,7 @@
   {
     mRoutes.Update(aRouting);
     mWorkspaces.Update(aRouting);
+    mKeyProof.Update(aRouting);
   }
 
   void On(RelayContext& aContext, const RelayRequestArrived& aEvent);
@@ -96,6 +100,20 @@
   void On(RelayContext& aContext,
           const NodeId& aFrom,
           const ContentReport& aReport);
+  void On(RelayContext& aContext, const RoutesConfirmed& aEvent)
+  {
+    mKeyProof.On(aContext, aEvent);
+  }
+  void On(RelayContext& aContext,
+          const NodeId& aFrom,
+          const KeyProofRequest& aRequest)
+  {
+    mKeyProof.On(aContext, aFrom, aRequest);
+  }
+  void On(RelayContext& aContext, const KeyProofReply& aReply)
+  {
+    mKeyProof.On(aContext, aReply);
+  }
   void On(RelayContext& aContext, const Placed& aPlaced);
   void On(RelayContext& aContext, const PlacementQueued& aQueued);
   void On(RelayContext& aContext, const PlacementRefused& aRefused);
@@ -128,7 +146,15 @@
   const Replica* CalledReplica(const RelayCallId& aCall);
 
   std::size_t Size() const { return mOpen.size(); }
-  const HeardLimits& Limits() const { return mLimits; }
+
+  /// Sets the fields that are about requests.
+  void Describe(RelayView& aView,
+                const RelaySettings& aSettings,
+                Instant aNow) const;
+
+  /// Refuses what waits for a replica with a key that no workspace holds any
+  /// more.
+  void RefuseWithdrawnKeys(RelayContext& aContext);
 
   /// Earliest expiry of the open requests; empty when there are none. Linear.
   std::optional<Instant> NextExpiry() const;
@@ -141,6 +167,22 @@
   /// Finds the workspace of the request. Returns false if it was refused.
   bool AdmitKey(RelayContext& aContext, OpenRequest& aRequest);
 
+  /// Checks the key again before a call, and sets until when the call may be
+  /// sent. Returns false if the request was refused.
+  bool ConfirmKey(RelayContext& aContext, OpenRequest& aRequest);
+
+  /// Sets the workspace that holds the key now. Returns why the request may not
+  /// be sent, if so.
+  std::optional<Error> FindWorkspace(RelayContext& aContext,
+                                     OpenRequest& aRequest) const;
+
+  /// Refuses a request whose newest call came too late to be sent with its key.
+  /// Returns whether it did.
+  bool RefuseLapsedCall(RelayContext& aContext,
+                        OpenRequest& aRequest,
+                        const RelayCallEnded& aEnded);
+  void GiveUpKey(RelayContext& aContext, OpenRequest& aRequest, Error aError);
+
   void Refuse(RelayContext& aContext,
               OpenRequest& aRequest,
               Error aError,
@@ -275,6 +317,7 @@
 
   RouteTable mRoutes;
   WorkspaceTable mWorkspaces;
+  KeyProof mKeyProof;
   ShardChooser mShards;
   ServiceRetryBudget mBudget;
   ContentGuard mContentGuard;
--- a/packages/core/include/heatherfork/relay_effect.h
+++ b/packages/core/include/heatherfork/relay_effect.h
@@ -35,7 +35,7 @@
   bool mIsLimited = false;     ///< Report an answer that names no limit, too.
   bool mHasWorkspaces = false; ///< Names mWorkspace and withholds the key.
   WorkspaceName mWorkspace;    ///< Of the caller; empty: none.
-  bool mNeedsKeyProof = false; ///< Not sent without a proof, see KeyProof.
+  Instant mSendBefore{};       ///< Not sent from then on; 0: no such limit.
   auto operator<=>(const StartCall&) const = default;
 };
 
@@ -120,7 +120,8 @@
 {
   ServiceName mService; ///< Empty without a route.
   RelayOutcome mOutcome = RelayOutcome::kAnswered;
-  Duration mElapsed{}; ///< Since the request arrived.
+  Duration mElapsed{};      ///< Since the request arrived.
+  WorkspaceName mWorkspace; ///< Empty without a known key.
   auto operator<=>(const RelayOutcomeMeasured&) const = default;
 };
 
--- a/packages/core/include/heatherfork/relay_event.h
+++ b/packages/core/include/heatherfork/relay_event.h
@@ -115,6 +115,14 @@
   auto operator<=>(const RoutingRead&) const = default;
 };
 
+/// The store confirmed the routes of a revision. Follows their RoutingRead.
+struct RoutesConfirmed
+{
+  Revision mRevision = 0;
+  Instant mAskedAt{}; ///< Before the question was sent.
+  auto operator<=>(const RoutesConfirmed&) const = default;
+};
+
 /// The replicas were read as published.
 struct ReplicasRead
 {
@@ -146,6 +154,7 @@
                                     RelayCallEnded,
                                     ServerChecked,
                                     RoutingRead,
+                                    RoutesConfirmed,
                                     ReplicasRead,
                                     StoreReachabilityChanged,
                                     StoreRestored,
--- a/packages/core/include/heatherfork/relay_reducer.h
+++ b/packages/core/include/heatherfork/relay_reducer.h
@@ -18,7 +18,9 @@
   std::size_t mReplicas = 0;
   std::size_t mOpenRequests = 0;
   bool mLeaving = false;
-  std::vector<ServerLimit> mLimits; ///< In force, as this node heard them.
+  std::vector<ServerLimit> mLimits;     ///< In force, as this node heard them.
+  std::optional<Duration> mKeyProofAge; ///< See detail::KeyProof.
+  bool mShouldAskStore = false; ///< Other nodes don't confirm the routes.
 
   /// Whether this node accepts callers.
   bool IsReady() const
--- a/packages/core/include/heatherfork/store_readers.h
+++ b/packages/core/include/heatherfork/store_readers.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "heatherfork/member.h"
 
 /// Selects the nodes that read the platform's store for the others, so that the
@@ -7,9 +9,11 @@
 /// start at once.
 namespace heatherfork {
 
-/// Whether aNode is one of the at most two alive nodes that read the store and
-/// inform the others. The readers are in different availability zones where
-/// there are several.
+/// The at most two alive nodes that read the store and inform the others. They
+/// are in different availability zones where there are several.
+std::vector<NodeId>
+StoreReaders(const Members& aMembers);
+
 bool
 IsStoreReader(const Members& aMembers, const NodeId& aNode);
 
--- a/packages/core/src/relay/pools.cpp
+++ b/packages/core/src/relay/pools.cpp
@@ -21,6 +21,55 @@
   return server;
 }
 
+// Weight of a workspace with the mean rate, or without a limit. Whole numbers
+// around it are fine enough for rates a hundred times smaller.
+constexpr int kUnitWeight = 100;
+constexpr double kMaxWeight = 1000000;
+
+double
+MeanRate(const std::vector<RoutedWorkspace>& aWorkspaces)
+{
+  double sum = 0;
+  int count = 0;
+  for (const RoutedWorkspace& workspace : aWorkspaces) {
+    sum += workspace.mQuota.mRate;
+    count += workspace.mQuota.mRate > 0 ? 1 : 0;
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
+/// The share of a workspace under contention, as of its rate.
+int
+WeightOf(const WorkspaceQuota& aQuota, double aMeanRate)
+{
+  if (aQuota.mRate <= 0 || aMeanRate <= 0) {
+    return kUnitWeight;
+  }
+  return static_cast<int>(
+    std::clamp(aQuota.mRate / aMeanRate * kUnitWeight, 1.0, kMaxWeight));
+}
+
+/// Requests without a key share what one workspace gets.
+std::vector<Workspace>
+MakeWorkspaces(const std::vector<RoutedWorkspace>& aWorkspaces)
+{
+  std::vector<Workspace> workspaces;
+  if (aWorkspaces.empty()) {
+    return workspaces;
+  }
+  const double mean = MeanRate(aWorkspaces);
+  Workspace anonymous;
+  anonymous.mWeight = kUnitWeight;
+  workspaces.push_back(std::move(anonymous));
+  for (const RoutedWorkspace& routed : aWorkspaces) {
+    Workspace workspace;
+    workspace.mName = routed.mName;
+    workspace.mWeight = WeightOf(routed.mQuota, mean);
+    workspaces.push_back(std::move(workspace));
+  }
+  return workspaces;
+}
+
 } // namespace
 
 ClassName
@@ -58,10 +107,8 @@
     if (routed.mRank) {
       ranks.insert(*routed.mRank);
     }
-    Workspace workspace;
-    workspace.mName = routed.mName;
-    configuration->mWorkspaces.push_back(std::move(workspace));
   }
+  configuration->mWorkspaces = MakeWorkspaces(aRouting.mWorkspaces);
   for (const int rank : ranks) {
     WorkClass workClass;
     workClass.mName = ClassOfRank(rank);
--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -87,6 +87,9 @@
     OnNotRun(aContext, aRequest, ended);
     return;
   }
+  if (!ConfirmKey(aContext, aRequest)) {
+    return;
+  }
   const Route& route = aRequest.mRoute;
   StartCall call;
   call.mCall = { aRequest.mCaller, ++aRequest.mCalls };
@@ -97,6 +100,7 @@
   call.mDeadline = aRequest.mExpiresAt;
   call.mHasWorkspaces = aRequest.mHasWorkspaces;
   call.mWorkspace = aRequest.mWorkspace;
+  call.mSendBefore = aRequest.mSendBefore;
   call.mIsLimited = aRequest.mPlacement.mPlaced.mIsLimited;
   call.mIsStream = route.mIsStream && aStage != RelayStage::kPrefill;
   const bool canRepeat = route.mRepeat == RepeatRule::kMayRepeat;
@@ -299,6 +303,9 @@
                         OpenRequest& aRequest,
                         const RelayCallEnded& aEnded)
 {
+  if (RefuseLapsedCall(aContext, aRequest, aEnded)) {
+    return;
+  }
   // The decode replica was full or could not fetch the KV cache. Its reply does
   // not say which, so neither replica is used again for this request.
   const bool isPrefillSuspect =
--- a/packages/core/src/relay/relay_log.cpp
+++ b/packages/core/src/relay/relay_log.cpp
@@ -30,8 +30,10 @@
               std::string aText)
 {
   LogRequestEvent(aContext, ToString(aOutcome), aRequest, std::move(aText));
-  aContext.Emit(RelayOutcomeMeasured{
-    aRequest.mService, aOutcome, aContext.Now() - aRequest.mArrivedAt });
+  aContext.Emit(RelayOutcomeMeasured{ aRequest.mService,
+                                      aOutcome,
+                                      aContext.Now() - aRequest.mArrivedAt,
+                                      aRequest.mWorkspace });
 }
 
 void
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -255,6 +255,7 @@
                    "revision=" + std::to_string(mRouting->mRevision) +
                      " routes=" + std::to_string(mRouting->mRoutes.size()) });
   RebuildConfiguration(aContext);
+  mRequests.RefuseWithdrawnKeys(aContext);
 }
 
 void
@@ -468,9 +469,8 @@
   RelayView view;
   view.mRouting = mState->mRouting;
   view.mReplicas = mState->mReplicas.size();
-  view.mOpenRequests = mState->mRequests.Size();
   view.mLeaving = mState->mIsLeaving;
-  view.mLimits = mState->mRequests.Limits().All(mState->mNow);
+  mState->mRequests.Describe(view, mState->mRelaySettings, mState->mNow);
   return view;
 }
 
--- a/packages/core/src/relay/relay_requests.cpp
+++ b/packages/core/src/relay/relay_requests.cpp
@@ -55,6 +55,17 @@
            : &request->mCalledReplica;
 }
 
+void
+RelayRequests::Describe(RelayView& aView,
+                        const RelaySettings& aSettings,
+                        Instant aNow) const
+{
+  aView.mOpenRequests = mOpen.size();
+  aView.mLimits = mLimits.All(aNow);
+  aView.mKeyProofAge = mKeyProof.Age(aNow);
+  aView.mShouldAskStore = mKeyProof.ShouldAskStore(aSettings, aNow);
+}
+
 std::optional<Instant>
 RelayRequests::NextExpiry() const
 {
@@ -269,6 +280,7 @@
 void
 RelayRequests::OnTimer(RelayContext& aContext)
 {
+  mKeyProof.OnTimer(aContext);
   mContentGuard.OnTimer(aContext);
   RefuseWaitingContent(aContext);
   mBackoffs.Expire(aContext.Now());
--- a/packages/core/src/relay/store_readers.cpp
+++ b/packages/core/src/relay/store_readers.cpp
@@ -1,5 +1,7 @@
 #include "heatherfork/store_readers.h"
 
+#include <algorithm>
+
 #include "heatherfork/detail/scheduling/rendezvous.h"
 #include "heatherfork/duty_members.h"
 
@@ -34,14 +36,14 @@
 
 // With two readers the other nodes stay up to date when one of them fails. A
 // node that gets updates from neither reads the store itself.
-bool
-IsStoreReader(const Members& aMembers, const NodeId& aNode)
+std::vector<NodeId>
+StoreReaders(const Members& aMembers)
 {
   const std::vector<const Member*> duty = DutyMembers(aMembers);
   const Member* first =
     HighestWeighted(duty, [](const Member&) { return true; });
   if (first == nullptr) {
-    return false;
+    return {};
   }
   const Member* second = HighestWeighted(
     duty, [&](const Member& aMember) { return aMember.mZone != first->mZone; });
@@ -49,7 +51,18 @@
     second = HighestWeighted(
       duty, [&](const Member& aMember) { return &aMember != first; });
   }
-  return first->mNode == aNode || (second != nullptr && second->mNode == aNode);
+  std::vector<NodeId> readers{ first->mNode };
+  if (second != nullptr) {
+    readers.push_back(second->mNode);
+  }
+  return readers;
+}
+
+bool
+IsStoreReader(const Members& aMembers, const NodeId& aNode)
+{
+  const std::vector<NodeId> readers = StoreReaders(aMembers);
+  return std::find(readers.begin(), readers.end(), aNode) != readers.end();
 }
 
 } // namespace heatherfork
--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -60,6 +60,7 @@
 private:
   bool OnHead(const HttpHead& aHead) override;
   void OnConnected() override;
+  bool MaySend() override;
   void OnBody(std::string_view aBytes) override;
   void OnDone() override;
   void OnFailed(const CallFailure& aFailure) override;
--- a/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <functional>
+#include <map>
+#include <optional>
 #include <string>
 
 #include <prometheus/counter.h>
@@ -10,6 +12,7 @@
 #include <prometheus/registry.h>
 
 #include "heatherfork/detail/relay/caller_port.h"
+#include "heatherfork/detail/relay/workspace_labels.h"
 #include "heatherfork/member.h"
 #include "heatherfork/relay_effect.h"
 #include "heatherfork/relay_reducer.h"
@@ -34,20 +37,29 @@
   void SetState(const RelayView& aView, const Members& aMembers);
   void SetLimits(const std::vector<ServerLimit>& aLimits);
   void SetUpdateAge(const std::string& aReader, Duration aAge);
+  /// Empty if the node has no proof; the metric is left out then.
+  void SetKeyProofAge(std::optional<Duration> aAge);
   void SetDroppedLines(std::uint64_t aCount);
 
   /// Returns all metrics in the Prometheus text format.
   std::string Serialize() const;
 
 private:
+  void CountWorkspace(const RelayOutcomeMeasured& aMeasured);
+
   prometheus::Registry mRegistry;
   prometheus::Family<prometheus::Counter>& mOutcomes;
   prometheus::Family<prometheus::Counter>& mEvents;
   prometheus::Family<prometheus::Counter>& mRefusals;
   prometheus::Family<prometheus::Histogram>& mFirstEvent;
   prometheus::Family<prometheus::Histogram>& mDuration;
+  prometheus::Family<prometheus::Histogram>& mWorkspaceDuration;
+  WorkspaceLabels mWorkspaceLabels;
+  /// By label; those of replaced ones are removed.
+  std::map<std::string, std::vector<prometheus::Histogram*>> mByWorkspace;
   prometheus::Family<prometheus::Gauge>& mMembers;
   prometheus::Family<prometheus::Gauge>& mUpdateAge;
+  prometheus::Family<prometheus::Gauge>& mKeyProofAge;
   prometheus::Family<prometheus::Gauge>& mServerLimits;
   prometheus::Family<prometheus::Gauge>& mServerLimitAges;
   std::vector<std::pair<prometheus::Gauge*, prometheus::Gauge*>> mLimits;
--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -31,6 +31,10 @@
   /// Called when a new connection is established for the exchange.
   virtual void OnConnected() {}
 
+  /// Called before the first byte of the request is written. Returns false if
+  /// the request must not be sent any more; the exchange fails then.
+  virtual bool MaySend() { return true; }
+
   /// Called with a response head. Returns false if the response belongs to
   /// another request and must be skipped.
   virtual bool OnHead(const HttpHead& aHead) = 0;
@@ -83,6 +87,7 @@
 
 private:
   void Fail(const std::string& aReason);
+  void FailLater(const std::string& aReason);
   void Write();
   void ReadAll();
   void ProcessInput();
--- a/packages/relay/include/heatherfork/detail/relay/store_pacing.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_pacing.h
@@ -17,6 +17,8 @@
   Duration mWait{};
   /// How long an answer may take, in addition to a watch's wait.
   Duration mTimeout{};
+  /// Least interval between updates of peers without a change.
+  Duration mPeerUpdateInterval{};
   /// How long the node makes no calls after a peer's update.
   Duration mPeerUpdateLifetime{};
   /// Delay after a failure; doubles with each consecutive one.
@@ -35,6 +37,9 @@
 
   void SetReadsForOthers(bool aReads) { mReadsForOthers = aReads; }
 
+  /// Sets whether updates from peers do not suffice.
+  void SetNeedsConfirmation(bool aNeeds) { mNeedsConfirmation = aNeeds; }
+
   /// Whether to call now. A range read in progress continues without a pause,
   /// since updates from peers can't be applied to an incomplete copy.
   bool IsDue(Instant aNow, bool aIsComplete) const;
@@ -57,6 +62,13 @@
   /// store has answered for long enough.
   bool CanUpdatePeers(Instant aNow) const;
 
+  /// Whether to send an update without a change; the last one was sent at
+  /// aSentAt.
+  bool IsPeerUpdateDue(Instant aNow, Instant aSentAt) const
+  {
+    return aNow - aSentAt >= mPace.mPeerUpdateInterval;
+  }
+
   /// When the last answer of the store or update from a peer arrived.
   Instant LastUpdateAt() const { return mLastUpdateAt; }
   int Failures() const { return mFailures; }
@@ -67,6 +79,7 @@
   StorePace mPace;
   std::mt19937_64 mRandom;
   bool mReadsForOthers = true;
+  bool mNeedsConfirmation = false;
   Instant mNextAt{};
   Instant mLastUpdateAt;
   Instant mAnsweringSince{}; ///< Start of the current run of successful calls.
--- a/packages/relay/include/heatherfork/detail/relay/store_reader.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_reader.h
@@ -28,6 +28,10 @@
   std::function<void(StoreEra)> mOnRestored;
 
   StoreCopy::Differs mDiffers;
+
+  /// Called when the store has confirmed that the items last published were
+  /// complete at some time after the given one.
+  std::function<void(Instant)> mOnConfirmed;
 };
 
 /// Reads all items under a prefix, then watches for changes. Reads all again if
@@ -58,6 +62,12 @@
   /// Sets whether this node reads the store for other nodes, or they for it.
   void SetReadsForOthers(bool aReads) { mPacing.SetReadsForOthers(aReads); }
 
+  /// Sets whether to call the store although other nodes send updates.
+  void SetNeedsConfirmation(bool aNeeds)
+  {
+    mPacing.SetNeedsConfirmation(aNeeds);
+  }
+
   /// Replaces the copy by another node's copy if that is newer.
   void ApplyPeerSnapshot(StoreEra aEra, Revision aAt, Items aItems);
 
@@ -81,6 +91,11 @@
   void MarkReachable(const char* aSource);
 
   void PublishItems();
+  void Confirm(Instant aAskedAt);
+
+  /// Sends the update to peers, unless it has no items and the last one is
+  /// recent; a later one covers it then.
+  void UpdatePeers(StoreUpdate aUpdate, Instant aNow);
 
   IoLoop& mLoop;
   const RelayWire& mWire;
@@ -96,6 +111,9 @@
   bool mIsCalling = false;
   StoreCall mCall;
   Instant mCallStartedAt{};
+  Instant mRangeStartedAt{};                ///< Of the first page's call.
+  std::optional<StoreUpdate> mUnsentUpdate; ///< Without items.
+  Instant mUpdateSentAt{};
   Instant mNextAskPeerAt{};
   HttpHead mHead; ///< Of the answer.
   std::string mBody;
--- a/packages/relay/include/heatherfork/detail/relay/store_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_watch.h
@@ -38,6 +38,12 @@
 
   void OnTimer(Instant aNow);
 
+  /// Sets whether the routes need the store's confirmation now.
+  void SetNeedsConfirmation(bool aNeeds)
+  {
+    mRouting.SetNeedsConfirmation(aNeeds);
+  }
+
   /// Handles a message about the store. Returns false for other messages.
   bool HandleMessage(const NodeId& aFrom, const PeerMessage& aMessage);
 
@@ -47,6 +53,7 @@
 private:
   void OnRoutingItems(const StoreReader::Items& aItems);
   void OnReplicaItems(const StoreReader::Items& aItems);
+  void OnRoutingConfirmed(Instant aAskedAt);
   void OnRestored(const char* aName, StoreEra aEra);
   void OnReachability(const char* aName,
                       bool aIsReachable,
@@ -66,6 +73,8 @@
   Hooks mHooks;
   std::optional<bool> mReadsForOthers; ///< Empty until the node has joined.
   Instant mNextChooseAt{};
+  /// Of the routes that the copy holds; empty if they can't be read.
+  std::optional<Revision> mHeldRouting;
   StoreReader mRouting;
   StoreReader mReplicas;
   Instant mStartedAt;
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -91,6 +91,14 @@
   mContext.mConnectTimes.Observe(SteadyNow() - mStartedAt);
 }
 
+// A connect, or a pause of the process, may lie between the decision and now.
+bool
+Exchange::MaySend()
+{
+  return !mCall || mCall->mSendBefore == Instant{} ||
+         SteadyNow() < mCall->mSendBefore;
+}
+
 bool
 Exchange::OnHead(const HttpHead& aHead)
 {
--- a/packages/relay/src/io_loop.cpp
+++ b/packages/relay/src/io_loop.cpp
@@ -38,8 +38,10 @@
 Instant
 SteadyNow()
 {
-  const auto now = std::chrono::steady_clock::now().time_since_epoch();
-  return Instant(std::chrono::duration_cast<Duration>(now));
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 IoLoop::IoLoop()
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -1,5 +1,7 @@
 #include "heatherfork/detail/relay/relay_metrics.h"
 
+#include <algorithm>
+
 #include <prometheus/text_serializer.h>
 
 namespace heatherfork::relay {
@@ -11,6 +13,9 @@
   0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.7, 1, 1.5, 2.5, 5, 10, 20
 };
 
+// A histogram has as many lines as buckets, and one for each outcome.
+constexpr std::size_t kMaxWorkspaceLabels = 32;
+
 double
 ToSeconds(Duration aDuration)
 {
@@ -50,6 +55,13 @@
                 .Name("heatherfork_relay_request_seconds")
                 .Help("Time from a request to its last word.")
                 .Register(mRegistry))
+  , mWorkspaceDuration(
+      prometheus::BuildHistogram()
+        .Name("heatherfork_relay_workspace_seconds")
+        .Help("Time from a request to its last word, by workspace; the smaller "
+              "ones together.")
+        .Register(mRegistry))
+  , mWorkspaceLabels(kMaxWorkspaceLabels)
   , mMembers(prometheus::BuildGauge()
                .Name("heatherfork_members")
                .Help("Nodes, by what this one holds of them.")
@@ -58,6 +70,11 @@
                  .Name("heatherfork_store_news_age_seconds")
                  .Help("Since the store or a peer last said what is in force.")
                  .Register(mRegistry))
+  , mKeyProofAge(
+      prometheus::BuildGauge()
+        .Name("heatherfork_key_proof_age_seconds")
+        .Help("Since the keys in force here were surely the store's.")
+        .Register(mRegistry))
   , mServerLimits(prometheus::BuildGauge()
                     .Name("heatherfork_server_limit_per_second")
                     .Help("Limits that replicas named in answers to this node.")
@@ -109,7 +126,34 @@
       .Observe(took);
   } else {
     mDuration.Add(labels, kSecondsBuckets).Observe(took);
+    CountWorkspace(aMeasured);
+  }
+}
+
+void
+RelayMetrics::CountWorkspace(const RelayOutcomeMeasured& aMeasured)
+{
+  if (aMeasured.mWorkspace.Empty()) {
+    return;
   }
+  const WorkspaceLabels::Change change =
+    mWorkspaceLabels.Count(aMeasured.mWorkspace);
+  const auto replaced = mByWorkspace.find(change.mReplaced.mValue);
+  if (replaced != mByWorkspace.end()) {
+    for (prometheus::Histogram* histogram : replaced->second) {
+      mWorkspaceDuration.Remove(histogram);
+    }
+    mByWorkspace.erase(replaced);
+  }
+  prometheus::Histogram& histogram =
+    mWorkspaceDuration.Add({ { "tenant", change.mLabel },
+                             { "outcome", ToString(aMeasured.mOutcome) } },
+                           kSecondsBuckets);
+  std::vector<prometheus::Histogram*>& known = mByWorkspace[change.mLabel];
+  if (std::find(known.begin(), known.end(), &histogram) == known.end()) {
+    known.push_back(&histogram);
+  }
+  histogram.Observe(ToSeconds(aMeasured.mElapsed));
 }
 
 void
@@ -174,6 +218,14 @@
   mUpdateAge.Add({ { "reader", aReader } }).Set(ToSeconds(aAge));
 }
 
+void
+RelayMetrics::SetKeyProofAge(std::optional<Duration> aAge)
+{
+  if (aAge) {
+    mKeyProofAge.Add({}).Set(ToSeconds(*aAge));
+  }
+}
+
 void
 RelayMetrics::SetDroppedLines(std::uint64_t aCount)
 {
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -200,6 +200,9 @@
   for (const auto& [caller, exchange] : mExchanges) {
     exchange->OnTimer(aNow);
   }
+  if (mSettings.mRelay.mMaxKeyDelay > Duration{}) {
+    mStoreWatch.SetNeedsConfirmation(mReducer.View().mShouldAskStore);
+  }
   mStoreWatch.OnTimer(aNow);
   mPool.Expire(aNow);
   mServerChecks.OnTimer(aNow);
@@ -268,6 +271,7 @@
                              mStoreWatch.RoutingReader().UpdateAge());
   mRelayMetrics.SetUpdateAge("replicas",
                              mStoreWatch.ReplicaReader().UpdateAge());
+  mRelayMetrics.SetKeyProofAge(mReducer.View().mKeyProofAge);
   mRelayMetrics.SetDroppedLines(mLog.Dropped());
   return mRelayMetrics.Serialize();
 }
--- a/packages/relay/src/relay_node_calls.cpp
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -15,7 +15,8 @@
 {
   const bool isFailure =
     aEvent == "refused" || aEvent == "broken" || aEvent == "scheduler-lost" ||
-    aEvent == "scheduler-silent" || aEvent == "scheduler-unreachable";
+    aEvent == "scheduler-silent" || aEvent == "scheduler-unreachable" ||
+    aEvent == "keys-unconfirmed";
   return isFailure ? LogLevel::kWarning : LogLevel::kInfo;
 }
 
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -98,12 +98,7 @@
   if (mDescriptor < 0) {
     mDescriptor = BeginConnect(mAddress);
     if (mDescriptor < 0) {
-      // Reported from the loop, like every other failure.
-      mLoop.Post([this, alive = mIsAlive] {
-        if (*alive) {
-          Fail("can't connect to " + mAddress.mValue);
-        }
-      });
+      FailLater("can't connect to " + mAddress.mValue);
       return;
     }
     UpdateInterest();
@@ -178,6 +173,17 @@
   }
 }
 
+// Reported from the loop, since the listener's call of Begin has not returned.
+void
+ServerConnection::FailLater(const std::string& aReason)
+{
+  mLoop.Post([this, aReason, alive = mIsAlive] {
+    if (*alive) {
+      Fail(aReason);
+    }
+  });
+}
+
 void
 ServerConnection::OnIo(bool aReadable, bool aWritable, bool aFailed)
 {
@@ -220,6 +226,12 @@
 void
 ServerConnection::Write()
 {
+  if (!mMayHaveSent && mListener != nullptr && !mListener->MaySend()) {
+    CloseSocket();
+    mIsReusable = false;
+    FailLater("too late to be sent");
+    return;
+  }
   mMayHaveSent = true;
   if (WriteSome(mDescriptor, mOutput, mWrittenBytes) == IoResult::kFailed) {
     // The other side may have answered before it stopped reading. After its
--- a/packages/relay/src/store_pacing.cpp
+++ b/packages/relay/src/store_pacing.cpp
@@ -26,7 +26,7 @@
 StorePacing::IsDue(Instant aNow, bool aIsComplete) const
 {
   const bool isUpdatedByPeers =
-    !mReadsForOthers && aIsComplete &&
+    !mReadsForOthers && !mNeedsConfirmation && aIsComplete &&
     aNow - mLastUpdateAt < mPace.mPeerUpdateLifetime;
   return aNow >= mNextAt && !isUpdatedByPeers;
 }
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -63,6 +63,9 @@
   } else {
     mCall.mKind = StoreCall::Kind::kRange;
     mCall.mFrom = mCopy.PageStartKey();
+    if (mCall.mFrom.empty()) {
+      mRangeStartedAt = aNow;
+    }
   }
   mIsCalling = true;
   mCallStartedAt = aNow;
@@ -211,9 +214,13 @@
   MarkReachable("the store's answer");
   if (mCall.mKind == StoreCall::Kind::kRange) {
     mPacing.OnPage(now);
+    const bool isLast = !aAnswer.mHasMore || aAnswer.mItems.empty();
     if (mCopy.ApplyPage(aAnswer)) {
       PublishItems();
     }
+    if (isLast && mCopy.IsComplete()) {
+      Confirm(mRangeStartedAt);
+    }
     return;
   }
   mPacing.OnWatchAnswer(now);
@@ -221,9 +228,38 @@
   if (mCopy.ApplyWatchAnswer(aAnswer, update)) {
     PublishItems();
   }
+  Confirm(mCallStartedAt);
   if (mPacing.CanUpdatePeers(now)) {
-    mHooks.mOnUpdate(update);
+    UpdatePeers(std::move(update), now);
+  } else {
+    mUnsentUpdate.reset();
+  }
+}
+
+// An answer that has waited for changes was complete when it was written, but
+// that time is unknown: only the question is surely older.
+void
+StoreReader::Confirm(Instant aAskedAt)
+{
+  if (mHooks.mOnConfirmed) {
+    mHooks.mOnConfirmed(aAskedAt);
+  }
+}
+
+void
+StoreReader::UpdatePeers(StoreUpdate aUpdate, Instant aNow)
+{
+  if (mUnsentUpdate && mUnsentUpdate->mEra == aUpdate.mEra &&
+      mUnsentUpdate->mAt == aUpdate.mFrom) {
+    aUpdate.mFrom = mUnsentUpdate->mFrom;
+  }
+  if (aUpdate.mItems.empty() && !mPacing.IsPeerUpdateDue(aNow, mUpdateSentAt)) {
+    mUnsentUpdate = std::move(aUpdate);
+    return;
   }
+  mUnsentUpdate.reset();
+  mUpdateSentAt = aNow;
+  mHooks.mOnUpdate(aUpdate);
 }
 
 } // namespace heatherfork::relay
--- a/packages/relay/src/store_watch.cpp
+++ b/packages/relay/src/store_watch.cpp
@@ -32,6 +32,21 @@
   return pace;
 }
 
+// A proof of current keys counts from the question, so its age at the reader
+// reaches twice the wait of a watch.
+constexpr int kKeyWaitPart = 16;
+
+StorePace
+PaceForRouting(const RelaySettings& aSettings)
+{
+  StorePace pace = PaceForMaxAge(aSettings.mMaxRoutingDelay, Duration{});
+  if (aSettings.mMaxKeyDelay > Duration{}) {
+    pace.mPeerUpdateInterval = pace.mWait;
+    pace.mWait = std::min(pace.mWait, aSettings.mMaxKeyDelay / kKeyWaitPart);
+  }
+  return pace;
+}
+
 // Requests a copy that is newer than the reader's.
 PublishedRequest
 RequestFor(const StoreReader& aReader)
@@ -55,7 +70,7 @@
       mWire,
       aSettings.mStoreAddress,
       mWire.RoutingKey(),
-      PaceForMaxAge(aSettings.mRelay.mMaxRoutingDelay, Duration{}),
+      PaceForRouting(aSettings.mRelay),
       StoreHooks{
         [this](const StoreReader::Items& aItems) { OnRoutingItems(aItems); },
         [this](bool aIsReachable, const std::string& aReason) {
@@ -65,7 +80,8 @@
         [this](StoreEra aEra) { OnRestored("routing", aEra); },
         [](const StoreItem& aOld, const StoreItem& aNew) {
           return aOld.mValue != aNew.mValue;
-        } })
+        },
+        [this](Instant aAskedAt) { OnRoutingConfirmed(aAskedAt); } })
   , mReplicas(
       aLoop,
       mWire,
@@ -89,7 +105,8 @@
           std::string reason;
           return mWire.ReadReplica(aOld.mKey, aOld.mValue, reason) !=
                  mWire.ReadReplica(aNew.mKey, aNew.mValue, reason);
-        } })
+        },
+        {} })
   , mStartedAt(SteadyNow())
   , mRandom(aSettings.mNode.mSeed)
 {
@@ -110,6 +127,7 @@
 void
 StoreWatch::OnRoutingItems(const StoreReader::Items& aItems)
 {
+  mHeldRouting.reset();
   const auto it = aItems.find(mWire.RoutingKey());
   if (it == aItems.end()) {
     return;
@@ -120,10 +138,19 @@
     mLog.Add(LogLevel::kWarning, "routing-unreadable", "", reason);
     return;
   }
+  mHeldRouting = routing->mRevision;
   mHooks.mSetLimits(routing->mLimits);
   mHooks.mPost(RoutingRead{ routing });
 }
 
+void
+StoreWatch::OnRoutingConfirmed(Instant aAskedAt)
+{
+  if (mHeldRouting) {
+    mHooks.mPost(RoutesConfirmed{ *mHeldRouting, aAskedAt });
+  }
+}
+
 void
 StoreWatch::OnReplicaItems(const StoreReader::Items& aItems)
 {
--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -55,6 +55,8 @@
         self.phase = phase
         self.faults = []
         self.received = []  # (header fields, body) of each request.
+        self.arrivals = []  # (time, request id) of each request.
+        self.raw = []  # All bytes that came.
         self.closed_early = threading.Event()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -92,6 +94,7 @@
                         return
                     if not more:
                         return
+                    self.raw.append(more)
                     data += more
                 head, data = data.split(b"\r\n\r\n", 1)
                 lines = head.decode().split("\r\n")
@@ -102,8 +105,10 @@
                     more = connection.recv(65536)
                     if not more:
                         return
+                    self.raw.append(more)
                     data += more
                 body, data = data[:length], data[length:]
+                self.arrivals.append((time.monotonic(), fields.get("Request-Id")))
                 self.received.append((fields, body))
                 if not self.answer(connection, fields, body):
                     return
--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -101,7 +101,7 @@
 
 class Node:
     def __init__(self, name, store, seed=None, leave_log_unread=False, metrics_port=None,
-                 retry_slack=1000, ports=None):
+                 retry_slack=1000, ports=None, relay_settings=""):
         self.caller_port, self.peer_port, self.info_port, self.metrics_port = (
             ports or pick_free_ports(4)
         )
@@ -129,6 +129,7 @@
 retry_budget_slack = {retry_slack}
 retry_window_s = 10
 grace_s = 8.0
+{relay_settings}
 """
         )
         self.start(leave_log_unread)
--- a/tests/single_relay_node.h
+++ b/tests/single_relay_node.h
@@ -89,10 +89,19 @@
   explicit SingleRelayNode(int aRetrySlack = 100,
                            int aShardServers = 32,
                            Duration aTarget = Milliseconds(900))
-    : mReducer(MakeNodeSettings(aShardServers), MakeRelaySettings(aRetrySlack))
+    : SingleRelayNode(MakeRelaySettings(aRetrySlack),
+                      SampleRouting(1, aTarget),
+                      aShardServers)
+  {
+  }
+
+  SingleRelayNode(RelaySettings aSettings,
+                  RoutingPtr aRouting,
+                  int aShardServers = 32)
+    : mReducer(MakeNodeSettings(aShardServers), aSettings)
   {
     Step(TimerFired{});
-    Step(RoutingRead{ SampleRouting(1, aTarget) });
+    Step(RoutingRead{ std::move(aRouting) });
     Step(ReplicasRead{ SampleReplicas() });
   }
 
@@ -104,7 +113,8 @@
   }
 
   void SendRequest(const std::string& aPath,
-                   Duration aTimeLeft = Milliseconds(4000))
+                   Duration aTimeLeft = Milliseconds(4000),
+                   const std::string& aKeyDigest = "")
   {
     RelayRequest request;
     request.mId = "r";
@@ -113,6 +123,7 @@
     request.mTimeLeft = aTimeLeft;
     request.mPromptTokens = 1000;
     request.mMaxTokens = 100;
+    request.mKeyDigest = aKeyDigest;
     Step(RelayRequestArrived{ ++mCaller, request });
   }
 
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -1,3 +1,4 @@
+#include "heatherfork/configuration_document.h"
 #include "platform/wire.h"
 
 #include <CppUTest/TestHarness.h>
@@ -98,6 +99,136 @@
                text.c_str());
 }
 
+// The workspace that a replica is told is never the caller's word, and the key
+// stays here.
+TEST(Platform, WithholdsKeyAndNamesWorkspace)
+{
+  const HttpField kKey{ "Authorization", "Bearer k1" };
+  const HttpField kClaim{ "tENANT", "theirs" };
+  struct Row
+  {
+    const char* mName;
+    std::vector<HttpField> mFields;
+    bool mHasWorkspaces;
+    std::string mWorkspace;
+    std::string mFieldsOut; ///< After those that all have.
+  };
+  const Row kRows[] = {
+    { "key", { kKey }, true, "w", "Tenant: w\r\n" },
+    { "key and claim", { kKey, kClaim }, true, "w", "Tenant: w\r\n" },
+    { "two claims", { kClaim, kClaim }, true, "w", "Tenant: w\r\n" },
+    { "two keys", { kKey, kKey }, true, "", "" },
+    { "claim without a key", { kClaim }, true, "", "" },
+    { "another scheme", { { "Authorization", "Basic x" } }, true, "", "" },
+  };
+  for (const Row& row : kRows) {
+    std::vector<HttpField> fields{ kHost, kId };
+    fields.insert(fields.end(), row.mFields.begin(), row.mFields.end());
+    StartCall call;
+    call.mServer.mValue = "i-1";
+    call.mHasWorkspaces = row.mHasWorkspaces;
+    call.mWorkspace.mValue = row.mWorkspace;
+    const std::string text =
+      kWire.WriteCall(Head(fields), "ab", call, Milliseconds(1200));
+    const std::string expected =
+      "POST /p/x?q=1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
+      "Deadline-Ms: 1200\r\nTarget-Instance: i-1\r\n" +
+      row.mFieldsOut + "Content-Length: 2\r\n\r\nab";
+    STRCMP_EQUAL_TEXT(expected.c_str(), text.c_str(), row.mName);
+  }
+}
+
+TEST(Platform, PassesKeyFieldsWithoutWorkspaces)
+{
+  StartCall call;
+  const std::string text = kWire.WriteCall(
+    Head(
+      { kHost, kId, { "Authorization", "Bearer k1" }, { "Tenant", "theirs" } }),
+    "",
+    call,
+    Milliseconds(1200));
+  STRCMP_CONTAINS("Authorization: Bearer k1\r\nTenant: theirs\r\n",
+                  text.c_str());
+}
+
+TEST(Platform, HashesKeyOfRequest)
+{
+  struct Row
+  {
+    std::vector<std::string> mValues; ///< Of the field.
+    std::string mDigest;
+  };
+  const std::string digest = DigestOf("k1");
+  const Row kRows[] = {
+    { {}, "" },
+    { { "Bearer k1" }, digest },
+    { { "bEARER k1" }, digest },
+    { { "Bearer k2" }, DigestOf("k2") },
+    { { "Bearer " }, "" },
+    { { "Bearer" }, "" },
+    { { "Basic k1" }, "" },
+    { { "k1" }, "" },
+    { { "Bearer k1", "Bearer k1" }, "" },
+  };
+  for (const Row& row : kRows) {
+    std::vector<HttpField> fields{ kHost, kId };
+    for (const std::string& value : row.mValues) {
+      fields.push_back({ "Authorization", value });
+    }
+    const auto read = kWire.ReadRequest(Head(fields), "body");
+    const auto* request = std::get_if<RelayRequest>(&read);
+    CHECK(request != nullptr);
+    STRCMP_EQUAL(row.mDigest.c_str(), request->mKeyDigest.c_str());
+  }
+}
+
+TEST(Platform, ReadsWorkspaces)
+{
+  const std::string kRest = R"("Version":3,"Services":[],"Limits":{})";
+  const std::string kRoutes =
+    R"("Routes":[{"Name":"r","Host":"h","PathPrefix":"/","Kind":"stream",)"
+    R"("TimeoutMs":1,"Service":"s","Anonymous":true}])";
+  struct Row
+  {
+    const char* mName;
+    std::string mWorkspaces; ///< Empty: none are configured.
+    bool mNeedsKeys;
+    std::vector<RoutedWorkspace> mExpected;
+  };
+  RoutedWorkspace full;
+  full.mName.mValue = "w";
+  full.mKeyDigests = { DigestOf("k1"), DigestOf("k2") };
+  full.mRank = 2;
+  full.mQuota = { QuotaUnit::kTokens, 12.5, 100, 7 };
+  RoutedWorkspace plain;
+  plain.mName.mValue = "v";
+  const Row kRows[] = {
+    { "none", "", false, {} },
+    { "empty list", "[]", true, {} },
+    { "all fields",
+      R"([{"Name":"w","ApiKeys":["k1","k2"],"Priority":2,"Unit":"tokens",)"
+      R"("RatePerS":12.5,"Burst":100,"PlainTokens":7}])",
+      true,
+      { full } },
+    { "a name alone", R"([{"Name":"v"}])", true, { plain } },
+    { "unreadable ones",
+      R"([{"Name":""},{"ApiKeys":["k1"]},7,{"Name":"v","ApiKeys":[7]}])",
+      true,
+      { plain } },
+  };
+  for (const Row& row : kRows) {
+    const std::string list =
+      row.mWorkspaces.empty() ? "" : R"("Tenants":)" + row.mWorkspaces + ",";
+    std::string reason;
+    const RoutingPtr routing =
+      kWire.ReadRouting("{" + list + kRoutes + "," + kRest + "}", reason);
+    CHECK_TEXT(routing != nullptr, reason.c_str());
+    CHECK_EQUAL_TEXT(row.mNeedsKeys, routing->mNeedsKeys, row.mName);
+    CHECK_TEXT(row.mExpected == routing->mWorkspaces, row.mName);
+    CHECK_TEXT(routing->mRoutes.at(0).mIsAnonymous, row.mName);
+  }
+}
+
 TEST(Platform, ReadsResponseFlags)
 {
   struct Row
--- a/tests/unit-server-connection.cpp
+++ b/tests/unit-server-connection.cpp
@@ -27,12 +27,19 @@
   bool OnHead(const HttpHead&) override { return true; }
   void OnBody(std::string_view aBytes) override { mBody += aBytes; }
   void OnDone() override { mIsDone = true; }
-  void OnFailed(const CallFailure&) override { mHasFailed = true; }
+  bool MaySend() override { return mMaySend; }
+  void OnFailed(const CallFailure& aFailure) override
+  {
+    mHasFailed = true;
+    mMayHaveSent = aFailure.mMayHaveSent;
+  }
 
   std::string mBody;
   int mConnects = 0;
   bool mIsDone = false;
   bool mHasFailed = false;
+  bool mMaySend = true;
+  bool mMayHaveSent = false;
 };
 
 /// The other side of one connection.
@@ -61,6 +68,11 @@
     std::array<char, 1000> bytes{};
     CHECK(recv(mPeer, bytes.data(), bytes.size(), 0) > 0);
   }
+  void CheckEnd() const
+  {
+    std::array<char, 1000> bytes{};
+    CHECK_EQUAL(0, recv(mPeer, bytes.data(), bytes.size(), 0));
+  }
   void Send(const std::string& aBytes) const
   {
     CHECK_EQUAL(static_cast<ssize_t>(aBytes.size()),
@@ -184,3 +196,34 @@
     connection.Abandon();
   }
 }
+
+// The time at which a request may be sent can end during the connect, or while
+// the process is paused.
+TEST(ServerConnection, SendsNothingWhenItIsTooLate)
+{
+  for (const bool isKept : { false, true }) {
+    Server server;
+    IoLoop loop;
+    ServerConnection connection(loop, server.mAddress);
+    if (isKept) {
+      Recorder first;
+      connection.Begin(kRequest, false, first);
+      loop.Wait(Milliseconds(10));
+      server.Accept();
+      server.ReadRequest();
+      server.Send("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+      RunUntilEnd(loop, first);
+      CHECK(connection.CanBeReused());
+    }
+    Recorder late;
+    late.mMaySend = false;
+    connection.Begin(kRequest, false, late);
+    RunUntilEnd(loop, late);
+    CHECK(late.mHasFailed);
+    CHECK_FALSE(late.mMayHaveSent);
+    if (!isKept) {
+      server.Accept();
+    }
+    server.CheckEnd();
+  }
+}
