--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -101,7 +101,7 @@
 
 class Node:
     def __init__(self, name, store, seed=None, leave_log_unread=False, metrics_port=None,
-                 retry_slack=1000, ports=None):
+                 retry_slack=1000, ports=None, node_lines=""):
         self.caller_port, self.peer_port, self.info_port, self.metrics_port = (
             ports or pick_free_ports(4)
         )
@@ -121,6 +121,7 @@
 seeds = ["{seed or self.address}"]
 info_addresses = ["127.0.0.1:{self.info_port}"]
 metrics_address = "127.0.0.1:{self.metrics_port}"
+{node_lines}
 [keys]
 peer = "a key between the nodes"
 [relay]
