Refusals that need only a request's head, as code of their own

Cause: a path without a route and an unknown key are known before the body has arrived, but only the reducer decided them, with the whole request. Result: unit-relay-requests passes unchanged (18 tests, 93 checks).

--- a/packages/core/src/relay/relay_admission.cpp
+++ b/packages/core/src/relay/relay_admission.cpp
@@ -1,4 +1,4 @@
-#include "heatherfork/detail/relay/relay_log.h"
+#include "heatherfork/detail/relay/head_check.h"
 #include "heatherfork/detail/relay/relay_requests.h"
 
 /// Admission of requests by the key of their workspace.
@@ -22,13 +22,7 @@
   if (aRequest.mRoute.mIsAnonymous) {
     return true;
   }
-  Refuse(aContext,
-         aRequest,
-         { ErrorCode::kUnauthorized,
-           aRequest.mRequest.mKeyDigest.empty()
-             ? "the request names no key"
-             : "no workspace holds the key of the request" },
-         {});
+  Refuse(aContext, aRequest, NoKeyError(aRequest.mRequest), {});
   return false;
 }
 
--- a/packages/core/src/relay/relay_requests.cpp
+++ b/packages/core/src/relay/relay_requests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "heatherfork/detail/relay/head_check.h"
 #include "heatherfork/detail/relay/relay_log.h"
 
 namespace heatherfork::detail {
@@ -135,12 +136,7 @@
   OpenRequest& open =
     mOpen.emplace(aEvent.mCaller, std::move(request)).first->second;
   if (route == nullptr) {
-    Refuse(aContext,
-           open,
-           { ErrorCode::kNotFound,
-             "no route for host \"" + received.mHost + "\" and path \"" +
-               received.mPath + "\"" },
-           {});
+    Refuse(aContext, open, NoRouteError(received), {});
     return;
   }
   open.mRoute = *route;
