A node's memory and descriptors hold against crowds

Cause: every body was read whole wherever it came, held a second time as the text of the replica's call, and nothing limited the sum; connections were taken without end. Freed bodies stayed with the process, as assigning an empty string keeps the memory of the old one. Change: bodies are read within a part of memory_mb (BodyIntake, without I/O), head first; ready, entries, a bad head, no route, an unknown key and a length over the limit are answered without the body, and the rest is discarded up to the largest body for 2 s. Bodies over 64 KiB are shared by the exchange and the replica's connection, smaller ones still go out in one write. Blocks over 256 KiB return to the system when freed. Setting node.file_descriptors limits the connections: the one longest without a request is replaced. accept() without a descriptor rests until the timer. Metrics heatherfork_memory_bytes and heatherfork_waiting_bodies.

--- a/packages/node/src/settings/relay_settings.cpp
+++ b/packages/node/src/settings/relay_settings.cpp
@@ -37,6 +37,7 @@
   std::size_t memory = settings.mMemoryBytes / kBytesPerMegabyte;
   reader.Read("memory_mb", memory, Range{ 16, 1048576 });
   settings.mMemoryBytes = memory * kBytesPerMegabyte;
+  reader.Read("file_descriptors", settings.mDescriptors, Range{ 256, 1048576 });
   node.mProcessorShare = static_cast<std::uint32_t>(
     processorShare * processors * kThousandthsPerCore);
   reader.Read("info_addresses", settings.mInfoListen);
--- a/packages/relay/include/heatherfork/detail/relay/answer_limits.h
+++ b/packages/relay/include/heatherfork/detail/relay/answer_limits.h
@@ -8,6 +8,13 @@
 /// Limits on what a node buffers of the answers of replicas and of the store.
 namespace heatherfork::relay {
 
+/// Empties a text and frees its memory, which an assignment would keep.
+inline void
+FreeText(std::string& aText)
+{
+  std::string().swap(aText);
+}
+
 /// Memory for the buffered answers of all calls together.
 class AnswerBudget
 {
@@ -66,7 +73,7 @@
   void Clear()
   {
     mBudget.GiveBack(mText.size());
-    mText = std::string{};
+    FreeText(mText);
   }
 
   const std::string& Text() const { return mText; }
--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -2,11 +2,14 @@
 
 #include <algorithm>
 #include <deque>
+#include <limits>
 #include <memory>
 #include <string>
+#include <utility>
 
 #include <absl/status/status.h>
 
+#include "heatherfork/detail/relay/body_intake.h"
 #include "heatherfork/detail/relay/caller_output.h"
 #include "heatherfork/detail/relay/caller_response.h"
 #include "heatherfork/detail/relay/http_message.h"
@@ -29,6 +32,17 @@
                          const HttpHead& aHead,
                          std::string aBody) = 0;
 
+  /// Whether the body of a request is needed to answer it. Called with a head
+  /// whose body has not arrived.
+  virtual bool NeedsBody(const HttpHead& /*aHead*/) { return true; }
+
+  /// Called in place of OnRequest for a request whose body is not needed. The
+  /// listener answers, then the connection is closed.
+  virtual void OnUnreadRequest(CallerResponse /*aResponse*/,
+                               const HttpHead& /*aHead*/)
+  {
+  }
+
   /// Called for an invalid request; aStatus is the HTTP status to answer with.
   /// The listener answers, then the connection is closed.
   virtual void OnBadRequest(CallerResponse aResponse, int aStatus) = 0;
@@ -47,6 +61,7 @@
 public:
   CallerConnection(IoLoop& aLoop,
                    RequestListener& aListener,
+                   BodyIntake& aIntake,
                    const CallerLimits& aLimits,
                    int aDescriptor);
   ~CallerConnection() override;
@@ -68,6 +83,18 @@
   /// Closes the connection unless a request has arrived on it.
   void CloseIfIdle();
 
+  /// Whether it may be closed for another one: no request is being answered.
+  bool IsReplaceable() const { return mDescriptor >= 0 && !mIsAnswering; }
+
+  /// Orders replaceable connections: the first is closed first.
+  auto ReplacementOrder() const
+  {
+    return std::pair(mReader.HasBegun() || !mOutput.IsEmpty(), LastActiveAt());
+  }
+
+  /// Closes the connection at once.
+  void Close() { End(); }
+
   /// Checks the timeouts.
   void OnTimer(Instant aNow);
 
@@ -88,6 +115,11 @@
   void ReadAll();
   void ProcessInput();
   void ProcessRequests();
+  bool AdmitBody();
+  bool AskForRoom(std::size_t aBytes);
+  void CheckRoom();
+  void EndBody();
+  void DiscardInput();
   void Reject(int aStatus);
   void Write();
   void Cut();
@@ -96,17 +128,23 @@
 
   IoLoop& mLoop;
   RequestListener& mListener;
+  BodyIntake& mIntake;
   CallerLimits mLimits;
   int mDescriptor;
   HttpReader mReader;
   std::string mInput;
   std::string mBody;
+  BodyId mBodyId = 0;              ///< 0: the request has no body, or no head.
+  std::size_t mRoomBytes = 0;      ///< Asked for the body.
+  bool mIsWaitingForRoom = false;  ///< Nothing is read meanwhile.
+  std::size_t mDiscardedBytes = 0; ///< Input that arrived for nobody.
   CallerOutput mOutput;
   bool mIsAnswering = false;
   bool mIsProcessingInput = false;
   bool mWantsClose = false;
   bool mClosesAfterWrite = false;
-  bool mIsCut = false; ///< Nothing more can be sent; End follows.
+  bool mIsUnread = false; ///< Answered before its body has arrived.
+  bool mIsCut = false;    ///< Nothing more can be sent; End follows.
   bool mHasSentContinue = false;
   Instant mPeriodStart{}; ///< Start of the request or idle period.
   Instant mWrittenAt{};   ///< When the socket last accepted bytes.
@@ -116,7 +154,8 @@
 class CallerPort final : public IoHandler
 {
 public:
-  CallerPort(IoLoop& aLoop, RequestListener& aListener);
+  /// aIntake must outlive the port and may belong to several ports.
+  CallerPort(IoLoop& aLoop, RequestListener& aListener, BodyIntake& aIntake);
   ~CallerPort() override;
 
   absl::Status Start(const Address& aAddress);
@@ -127,6 +166,10 @@
   void SetLimits(const CallerLimits& aLimits) { mLimits = aLimits; }
   void OnTimer(Instant aNow);
 
+  /// While the loop has as many descriptors as this, a new connection takes the
+  /// place of the one that has been without a request for the longest.
+  void SetMaxDescriptors(std::size_t aCount) { mMaxDescriptors = aCount; }
+
   /// Closes connections that have no request in progress.
   void CloseIdle();
 
@@ -138,11 +181,15 @@
 
 private:
   void AcceptWaiting(int aLimit);
+  bool MakeRoom();
 
   IoLoop& mLoop;
   RequestListener& mListener;
+  BodyIntake& mIntake;
   CallerLimits mLimits;
   int mDescriptor = -1;
+  std::size_t mMaxDescriptors = std::numeric_limits<std::size_t>::max();
+  bool mIsPaused = false; ///< No descriptor was left; until the next timer.
   std::deque<std::shared_ptr<CallerConnection>> mConnections;
 };
 
--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -49,6 +49,9 @@
   void Refuse(const Error& aError, int aStatus, Duration aRetryAfter);
   void Abort();
 
+  /// Ends the call, as the caller has left. Frees the request's body.
+  void Drop();
+
   /// Checks the timeouts of the current call.
   void OnTimer(Instant aNow);
 
@@ -85,7 +88,7 @@
   ExchangeContext& mContext;
   CallerResponse mResponse;
   HttpHead mHead;
-  std::string mRequestBody;
+  SharedBody mRequestBody;
   std::string mRequestId;
 
   // State of the current call.
--- a/packages/relay/include/heatherfork/detail/relay/http_message.h
+++ b/packages/relay/include/heatherfork/detail/relay/http_message.h
@@ -1,9 +1,12 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 /// Strict parser for HTTP/1.1 messages.
@@ -27,6 +30,7 @@
   bool mKeepAlive = false;
   bool mIsFramed = false; ///< By length or chunks, not by connection close.
   bool mHasBody = false;
+  std::optional<std::uint64_t> mLength; ///< Of the body, if declared.
 
   /// Returns the value of the first field of this name, ignoring case, or null.
   const std::string* Find(std::string_view aName) const;
@@ -88,6 +92,9 @@
   HttpFault Fault() const { return mFault; }
   const HttpHead& Head() const { return mHead; }
 
+  /// Moves the head of a message that is done. Reset must follow.
+  HttpHead TakeHead() { return std::move(mHead); }
+
   /// Prepares for the next message. aIsHeadRequest: the message is the response
   /// to a HEAD request, so it has no body.
   void Reset(bool aIsHeadRequest = false);
--- a/packages/relay/include/heatherfork/detail/relay/io_loop.h
+++ b/packages/relay/include/heatherfork/detail/relay/io_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <mutex>
@@ -48,6 +49,8 @@
   /// events that were already polled.
   void Remove(int aDescriptor);
 
+  std::size_t Descriptors() const { return mEntries.size(); }
+
   /// Waits at most aLimit for events, then calls handlers and posted functions.
   void Wait(Duration aLimit);
 
--- a/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
@@ -35,6 +35,8 @@
   void SetLimits(const std::vector<ServerLimit>& aLimits);
   void SetUpdateAge(const std::string& aReader, Duration aAge);
   void SetDroppedLines(std::uint64_t aCount);
+  void SetMemory(const std::string& aPart, std::size_t aBytes);
+  void SetWaitingBodies(std::size_t aCount);
 
   /// Returns all metrics in the Prometheus text format.
   std::string Serialize() const;
@@ -56,6 +58,8 @@
   prometheus::Gauge& mRevision;
   prometheus::Gauge& mLeaving;
   prometheus::Gauge& mDroppedLines;
+  prometheus::Family<prometheus::Gauge>& mMemory;
+  prometheus::Gauge& mWaitingBodies;
 };
 
 /// Answers GET /metrics, and 404 to other requests.
@@ -67,6 +71,9 @@
   void OnRequest(CallerResponse aResponse,
                  const HttpHead& aHead,
                  std::string aBody) override;
+  bool NeedsBody(const HttpHead& /*aHead*/) override { return false; }
+  void OnUnreadRequest(CallerResponse aResponse,
+                       const HttpHead& aHead) override;
   void OnBadRequest(CallerResponse aResponse, int aStatus) override;
   void OnDisconnect(const CallerConnection& aConnection) override;
 
--- a/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
@@ -5,11 +5,14 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <vector>
 
+#include "heatherfork/detail/relay/body_intake.h"
 #include "heatherfork/detail/relay/caller_port.h"
 #include "heatherfork/detail/relay/exchange.h"
+#include "heatherfork/detail/relay/head_check.h"
 #include "heatherfork/detail/relay/line_log.h"
 #include "heatherfork/detail/relay/relay_metrics.h"
 #include "heatherfork/detail/relay/server_checks.h"
@@ -40,6 +43,9 @@
   void OnRequest(relay::CallerResponse aResponse,
                  const relay::HttpHead& aHead,
                  std::string aBody) override;
+  bool NeedsBody(const relay::HttpHead& aHead) override;
+  void OnUnreadRequest(relay::CallerResponse aResponse,
+                       const relay::HttpHead& aHead) override;
   void OnBadRequest(relay::CallerResponse aResponse, int aStatus) override;
   void OnDisconnect(const relay::CallerConnection& aConnection) override;
 
@@ -68,6 +74,10 @@
   void On(const SendToPeer& aEffect);
   void On(const ExitProcess& aEffect);
 
+  std::optional<Error> FindHeadError(const relay::HttpHead& aHead);
+  void RefuseHead(relay::CallerResponse aResponse,
+                  const std::string& aRequestId,
+                  const Error& aError);
   bool TryAnswerInfo(relay::CallerResponse& aResponse,
                      const relay::HttpHead& aHead);
   void StartMetrics();
@@ -84,6 +94,8 @@
   relay::ConnectionPool mPool;
   relay::ServerChecks mServerChecks;
   relay::ExchangeContext mExchangeContext;
+  detail::HeadCheck mHeadCheck;
+  relay::BodyIntake mIntake;
   relay::CallerPort mCallerPort;
   std::vector<std::unique_ptr<relay::CallerPort>> mInfoPorts;
   relay::RelayMetrics mRelayMetrics;
--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -2,6 +2,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -9,6 +10,7 @@
 
 #include "heatherfork/detail/relay/http_message.h"
 #include "heatherfork/detail/relay/io_loop.h"
+#include "heatherfork/detail/relay/sockets.h"
 #include "heatherfork/ids.h"
 
 /// Outgoing HTTP connections, to replicas and the store.
@@ -22,6 +24,9 @@
   bool mIsConnectionLost = false; ///< Closed or reset by the other side.
 };
 
+/// Body of a request, shared by the calls that it is sent with; may be null.
+using SharedBody = std::shared_ptr<const std::string>;
+
 /// Receives the response of one exchange. OnDone or OnFailed is the last call.
 class ExchangeListener
 {
@@ -52,10 +57,11 @@
   ServerConnection& operator=(const ServerConnection&) = delete;
 
   /// Sends a request. The listener must outlive the exchange or call Abandon.
-  /// aIsHeadRequest: the response has no body.
+  /// aIsHeadRequest: the response has no body. aBody is sent after aRequest.
   void Begin(std::string aRequest,
              bool aIsHeadRequest,
-             ExchangeListener& aListener);
+             ExchangeListener& aListener,
+             SharedBody aBody = nullptr);
 
   /// Cancels the exchange and closes the connection. The listener is not called
   /// any more.
@@ -83,6 +89,8 @@
 
 private:
   void Fail(const std::string& aReason);
+  bool HasUnwritten() const;
+  IoResult WriteParts();
   void Write();
   void ReadAll();
   void ProcessInput();
@@ -99,6 +107,8 @@
   bool mMayHaveSent = false; ///< Some bytes of the request may have been sent.
   std::string mOutput;
   std::size_t mWrittenBytes = 0;
+  SharedBody mBody; ///< Follows mOutput; null when it is written.
+  std::size_t mWrittenBodyBytes = 0;
   std::string mInput;
   HttpReader mReader;
   bool mHasHandledHead = false;
@@ -137,6 +147,9 @@
   /// reused.
   void Release(ServerConnectionPtr aConnection);
 
+  /// Keeps no connection while the loop has more descriptors than this.
+  void SetMaxDescriptors(std::size_t aCount) { mMaxDescriptors = aCount; }
+
   /// Closes connections that reached their idle timeout.
   void Expire(Instant aNow);
 
@@ -148,6 +161,7 @@
   };
 
   IoLoop& mLoop;
+  std::size_t mMaxDescriptors = std::numeric_limits<std::size_t>::max();
   std::deque<IdleConnection> mIdle;
   std::deque<ServerConnectionPtr> mClosed; ///< Destroyed after their callbacks.
 };
--- a/packages/relay/include/heatherfork/relay_node.h
+++ b/packages/relay/include/heatherfork/relay_node.h
@@ -25,7 +25,8 @@
   Address mMetricsListen;           ///< Metrics are disabled when empty.
   Address mStoreAddress;
   std::string mLogLevel = "info";
-  std::size_t mMemoryBytes = std::size_t{ 256 } << 20;  ///< Of the machine.
+  std::size_t mMemoryBytes = std::size_t{ 256 } << 20; ///< Of the machine.
+  std::size_t mDescriptors = 4096; ///< That the process may have.
   std::size_t mMaxAnswerBytes = std::size_t{ 4 } << 20; ///< Of one answer that
                                                         ///< is no stream.
 
--- a/packages/relay/include/heatherfork/relay_wire.h
+++ b/packages/relay/include/heatherfork/relay_wire.h
@@ -112,12 +112,12 @@
 
   // Replica calls.
 
-  /// Writes the caller's request, with its body, for a replica. aTimeLeft is
+  /// Writes the caller's request for a replica, up to its body. aTimeLeft is
   /// the time until the deadline.
-  virtual std::string WriteCall(const HttpHead& aHead,
-                                std::string_view aBody,
-                                const StartCall& aCall,
-                                Duration aTimeLeft) const = 0;
+  virtual std::string WriteCallHead(const HttpHead& aHead,
+                                    std::size_t aBodyBytes,
+                                    const StartCall& aCall,
+                                    Duration aTimeLeft) const = 0;
   virtual ResponseFlags ReadReply(const HttpHead& aHead,
                                   const std::string& aRequest) const = 0;
 
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -1,5 +1,6 @@
 #include "heatherfork/detail/relay/caller_port.h"
 
+#include <cerrno>
 #include <utility>
 
 #include <sys/socket.h>
@@ -52,10 +53,12 @@
 
 CallerConnection::CallerConnection(IoLoop& aLoop,
                                    RequestListener& aListener,
+                                   BodyIntake& aIntake,
                                    const CallerLimits& aLimits,
                                    int aDescriptor)
   : mLoop(aLoop)
   , mListener(aListener)
+  , mIntake(aIntake)
   , mLimits(aLimits)
   , mDescriptor(aDescriptor)
   , mReader(HttpReader::Kind::kRequest,
@@ -82,6 +85,7 @@
   close(mDescriptor);
   mDescriptor = -1;
   mOutput.Clear();
+  EndBody();
   if (std::exchange(mIsAnswering, false)) {
     mListener.OnDisconnect(*this);
   }
@@ -102,7 +106,9 @@
 CallerConnection::UpdateInterest()
 {
   if (mDescriptor >= 0) {
-    const bool wantsRead = mInput.size() <= kMaxReadAheadBytes || !mIsAnswering;
+    const bool wantsRead =
+      !mIsWaitingForRoom &&
+      (mInput.size() <= kMaxReadAheadBytes || !mIsAnswering);
     mLoop.Set(mDescriptor, IoInterest{ wantsRead, !mOutput.IsEmpty() }, *this);
   }
 }
@@ -136,13 +142,16 @@
       return;
     }
     if (mClosesAfterWrite) {
-      mInput.clear(); // Input after a rejected request must not be parsed.
+      DiscardInput();
       continue;
     }
     if (mIsCut || (mIsAnswering && mInput.size() > kMaxReadAheadBytes)) {
       break;
     }
     ProcessInput();
+    if (mIsWaitingForRoom) {
+      break;
+    }
   }
 }
 
@@ -161,7 +170,7 @@
 CallerConnection::ProcessRequests()
 {
   while (mDescriptor >= 0 && !mIsAnswering && !mClosesAfterWrite && !mIsCut &&
-         !mInput.empty()) {
+         !mIsWaitingForRoom && (!mInput.empty() || mReader.IsDone())) {
     if (!mReader.HasBegun()) {
       mPeriodStart = SteadyNow();
     }
@@ -170,6 +179,9 @@
       Reject(StatusOf(mReader.Fault()));
       return;
     }
+    if (mReader.HasHead() && mReader.Head().mHasBody && !AdmitBody()) {
+      return;
+    }
     if (!mReader.IsDone()) {
       const std::string* expect =
         mReader.HasHead() ? mReader.Head().Find("Expect") : nullptr;
@@ -179,7 +191,10 @@
       }
       return;
     }
-    const HttpHead head = mReader.Head();
+    const HttpHead head = mReader.TakeHead();
+    if (mBodyId != 0) {
+      mIntake.Complete(mBodyId, mBody.size());
+    }
     std::string body;
     body.swap(mBody);
     mReader.Reset();
@@ -194,6 +209,7 @@
 void
 CallerConnection::Reject(int aStatus)
 {
+  EndBody();
   mIsAnswering = true;
   mWantsClose = true;
   mListener.OnBadRequest(CallerResponse(shared_from_this()), aStatus);
@@ -239,11 +255,12 @@
 CallerConnection::Finish(bool aKeepOpen)
 {
   mIsAnswering = false;
+  EndBody();
   mPeriodStart = SteadyNow();
   if (mDescriptor < 0 || mIsCut) {
     return;
   }
-  if (!aKeepOpen) {
+  if (!aKeepOpen || mIsUnread) {
     // Closing with unread input would reset the connection and could discard
     // the response, so first shut down writing and let the caller read it.
     mClosesAfterWrite = true;
@@ -287,6 +304,12 @@
   if (mDescriptor < 0 || mIsAnswering) {
     return;
   }
+  if (mBodyId != 0) {
+    CheckRoom();
+    if (mDescriptor < 0 || mIsAnswering || mIsWaitingForRoom) {
+      return;
+    }
+  }
   if (mClosesAfterWrite || !mReader.HasBegun()) {
     const Duration limit =
       mClosesAfterWrite ? kLingerTimeout : mLimits.mIdleTimeout;
@@ -304,9 +327,12 @@
   }
 }
 
-CallerPort::CallerPort(IoLoop& aLoop, RequestListener& aListener)
+CallerPort::CallerPort(IoLoop& aLoop,
+                       RequestListener& aListener,
+                       BodyIntake& aIntake)
   : mLoop(aLoop)
   , mListener(aListener)
+  , mIntake(aIntake)
 {
 }
 
@@ -356,17 +382,47 @@
   for (int n = 0; n < aLimit; ++n) {
     const int descriptor = Accept(mDescriptor);
     if (descriptor < 0) {
+      if (errno == EMFILE || errno == ENFILE) {
+        // The listener stays readable, which would wake the loop at once.
+        mIsPaused = true;
+        mLoop.Set(mDescriptor, IoInterest{}, *this);
+      }
       return;
     }
+    if (mLoop.Descriptors() >= mMaxDescriptors && !MakeRoom()) {
+      close(descriptor);
+      continue;
+    }
     mConnections.push_back(std::make_shared<CallerConnection>(
-      mLoop, mListener, mLimits, descriptor));
+      mLoop, mListener, mIntake, mLimits, descriptor));
     mConnections.back()->Open();
   }
 }
 
+// Idle connections go first, then those whose request has not arrived yet.
+bool
+CallerPort::MakeRoom()
+{
+  CallerConnection* first = nullptr;
+  for (const auto& connection : mConnections) {
+    if (connection->IsReplaceable() &&
+        (first == nullptr ||
+         connection->ReplacementOrder() < first->ReplacementOrder())) {
+      first = connection.get();
+    }
+  }
+  if (first != nullptr) {
+    first->Close();
+  }
+  return first != nullptr;
+}
+
 void
 CallerPort::OnTimer(Instant aNow)
 {
+  if (std::exchange(mIsPaused, false) && mDescriptor >= 0) {
+    mLoop.Set(mDescriptor, IoInterest{ true, false }, *this);
+  }
   for (const auto& connection : mConnections) {
     connection->OnTimer(aNow);
   }
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -3,6 +3,8 @@
 #include <array>
 #include <cstdio>
 
+#include "heatherfork/detail/relay/node_memory.h"
+
 namespace heatherfork::relay {
 
 namespace {
@@ -35,7 +37,7 @@
   : mContext(aContext)
   , mResponse(std::move(aResponse))
   , mHead(std::move(aHead))
-  , mRequestBody(std::move(aBody))
+  , mRequestBody(std::make_shared<const std::string>(std::move(aBody)))
   , mRequestId(std::move(aRequestId))
   , mReplyBody(mContext.mAnswerBudget)
 {
@@ -68,11 +70,24 @@
   mIsSilent = false;
   mServerConnection = mContext.mPool.Acquire(
     aCall.mAddress, aCall.mNeedsNewConnection, mRequestId);
-  mServerConnection->Begin(
-    mContext.mWire.WriteCall(
-      mHead, mRequestBody, aCall, aCall.mDeadline - aNow),
-    mHead.mMethod == "HEAD",
-    *this);
+  std::string text = mContext.mWire.WriteCallHead(
+    mHead, mRequestBody->size(), aCall, aCall.mDeadline - aNow);
+  // One write for a small request; a large body is not held twice.
+  const bool isSmall = mRequestBody->size() <= kMaxSmallBodyBytes;
+  if (isSmall) {
+    text += *mRequestBody;
+  }
+  mServerConnection->Begin(std::move(text),
+                           mHead.mMethod == "HEAD",
+                           *this,
+                           isSmall ? nullptr : mRequestBody);
+}
+
+void
+Exchange::Drop()
+{
+  Stop();
+  mRequestBody = nullptr;
 }
 
 void
--- a/packages/relay/src/http_message.cpp
+++ b/packages/relay/src/http_message.cpp
@@ -223,7 +223,11 @@
   {
     aHead.mKeepAlive = this->keep_alive();
     aHead.mIsFramed = !this->need_eof();
-    aHead.mHasBody = this->chunked() || this->content_length().value_or(0) > 0;
+    const auto length = this->content_length();
+    if (length) {
+      aHead.mLength = *length;
+    }
+    aHead.mHasBody = this->chunked() || length.value_or(0) > 0;
   }
 
 protected:
@@ -361,6 +365,9 @@
     mFault = HttpFault::kBadHead;
     return;
   }
+  // One block of the right size: a head may consist of very many short fields.
+  mHead.mFields.reserve(
+    static_cast<std::size_t>(std::count(head.begin(), head.end(), '\n')));
   const std::size_t used = mParser->Put(head, error);
   // need_more after a complete head only means that a body follows.
   if (error && error != beast::error::need_more) {
@@ -373,6 +380,11 @@
   }
   aBuffer.erase(0, size);
   mParser->FillHead(mHead);
+  // A response is limited as it arrives: its listener may skip it.
+  if (mKind == Kind::kRequest && mHead.mLength.value_or(0) > mMaxBodyBytes) {
+    mFault = HttpFault::kBodyTooLarge;
+    return;
+  }
   mHasHead = true;
 }
 
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -91,6 +91,15 @@
                     .Help("Lines of the log that nobody read in time.")
                     .Register(mRegistry)
                     .Add({}))
+  , mMemory(prometheus::BuildGauge()
+              .Name("heatherfork_memory_bytes")
+              .Help("Granted to requests and held for answers, by part.")
+              .Register(mRegistry))
+  , mWaitingBodies(prometheus::BuildGauge()
+                     .Name("heatherfork_waiting_bodies")
+                     .Help("Bodies that wait for memory to be read.")
+                     .Register(mRegistry)
+                     .Add({}))
 {
 }
 
@@ -180,6 +189,18 @@
   mDroppedLines.Set(static_cast<double>(aCount));
 }
 
+void
+RelayMetrics::SetMemory(const std::string& aPart, std::size_t aBytes)
+{
+  mMemory.Add({ { "part", aPart } }).Set(static_cast<double>(aBytes));
+}
+
+void
+RelayMetrics::SetWaitingBodies(std::size_t aCount)
+{
+  mWaitingBodies.Set(static_cast<double>(aCount));
+}
+
 std::string
 RelayMetrics::Serialize() const
 {
@@ -204,6 +225,13 @@
   aResponse.Finish(true);
 }
 
+void
+MetricsListener::OnUnreadRequest(CallerResponse aResponse,
+                                 const HttpHead& aHead)
+{
+  OnRequest(std::move(aResponse), aHead, {});
+}
+
 void
 MetricsListener::OnBadRequest(CallerResponse aResponse, int /*aStatus*/)
 {
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -21,9 +21,6 @@
 // It must fit into the grace period.
 constexpr Duration kPeerConnectTimeout = Milliseconds(500);
 
-// Buffered answers may take this part of the machine's memory.
-constexpr std::size_t kAnswerMemoryDivisor = 4;
-
 LogLevel
 ParseLogLevel(const std::string& aName)
 {
@@ -62,11 +59,12 @@
                       mPool,
                       [this](RelayEventBody aBody) { Post(std::move(aBody)); },
                       mSettings.mMaxAnswerBytes,
-                      AnswerBudget(mSettings.mMemoryBytes /
-                                   kAnswerMemoryDivisor) }
-  , mCallerPort(mLoop, *this)
+                      AnswerBudget(
+                        DivideMemory(mSettings.mMemoryBytes).mAnswers) }
+  , mIntake(DivideMemory(mSettings.mMemoryBytes))
+  , mCallerPort(mLoop, *this, mIntake)
   , mMetricsListener([this] { return MetricsText(); })
-  , mMetricsPort(mLoop, mMetricsListener)
+  , mMetricsPort(mLoop, mMetricsListener, mIntake)
   , mPeers(TransportSettings(mSettings), *this)
   , mStoreWatch(
       mSettings,
@@ -93,13 +91,19 @@
 absl::Status
 RelayNode::State::Start()
 {
+  SetUpAllocator();
+  const std::size_t descriptors = MaxLoopDescriptors(mSettings.mDescriptors);
+  mPool.SetMaxDescriptors(descriptors);
+  mCallerPort.SetMaxDescriptors(descriptors);
+  mMetricsPort.SetMaxDescriptors(descriptors);
   mLoop.SetErrorHandler([this](const std::string& aReason) {
     mLog.Add(
       LogLevel::kWarning, "handler-failed", "", "reason=\"" + aReason + "\"");
   });
   absl::Status status = mCallerPort.Start(mSettings.mCallerListen);
   for (const Address& address : mSettings.mInfoListen) {
-    mInfoPorts.push_back(std::make_unique<CallerPort>(mLoop, *this));
+    mInfoPorts.push_back(std::make_unique<CallerPort>(mLoop, *this, mIntake));
+    mInfoPorts.back()->SetMaxDescriptors(descriptors);
     status.Update(mInfoPorts.back()->Start(address));
   }
   if (!status.ok()) {
@@ -192,6 +196,7 @@
 RelayNode::State::OnTimer(Instant aNow)
 {
   mFinishedExchanges.clear();
+  mIntake.OnTimer(aNow);
   mCallerPort.OnTimer(aNow);
   for (const auto& port : mInfoPorts) {
     port->OnTimer(aNow);
@@ -268,6 +273,11 @@
                              mStoreWatch.RoutingReader().UpdateAge());
   mRelayMetrics.SetUpdateAge("replicas",
                              mStoreWatch.ReplicaReader().UpdateAge());
+  mRelayMetrics.SetMemory("small_bodies", mIntake.SmallBytes());
+  mRelayMetrics.SetMemory("large_bodies", mIntake.LargeBytes());
+  mRelayMetrics.SetMemory("answers",
+                          mExchangeContext.mAnswerBudget.TakenBytes());
+  mRelayMetrics.SetWaitingBodies(mIntake.Waiting());
   mRelayMetrics.SetDroppedLines(mLog.Dropped());
   return mRelayMetrics.Serialize();
 }
--- a/packages/relay/src/relay_node_calls.cpp
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -8,6 +8,9 @@
 
 constexpr int kServiceUnavailable = 503;
 
+// Room for bodies is granted anew within about this time.
+constexpr Duration kFullRetryAfter = Milliseconds(1000);
+
 // Events of successful requests are frequent. Failures are warnings, which are
 // dropped last.
 LogLevel
@@ -96,14 +99,69 @@
   Post(RelayRequestArrived{ caller, request });
 }
 
+// Found by the head alone. Nothing while this node knows no routing: such a
+// request is refused, or waits, as one without a body does.
+std::optional<Error>
+RelayNode::State::FindHeadError(const HttpHead& aHead)
+{
+  const auto read = mWire.ReadRequest(aHead, {});
+  if (const auto* error = std::get_if<Error>(&read)) {
+    return *error;
+  }
+  return mHeadCheck.FindError(mReducer.View().mRouting,
+                              std::get<RelayRequest>(read));
+}
+
+bool
+RelayNode::State::NeedsBody(const HttpHead& aHead)
+{
+  return !mWire.IsReadyCall(aHead) && !mWire.ReadEntriesCall(aHead) &&
+         !FindHeadError(aHead);
+}
+
+void
+RelayNode::State::OnUnreadRequest(CallerResponse aResponse,
+                                  const HttpHead& aHead)
+{
+  if (TryAnswerInfo(aResponse, aHead)) {
+    return;
+  }
+  const auto error = FindHeadError(aHead);
+  const auto read = mWire.ReadRequest(aHead, {});
+  const auto* request = std::get_if<RelayRequest>(&read);
+  RefuseHead(std::move(aResponse),
+             request != nullptr ? request->mId : "",
+             error.value_or(Error{ ErrorCode::kBadHttp, "no body" }));
+}
+
+void
+RelayNode::State::RefuseHead(CallerResponse aResponse,
+                             const std::string& aRequestId,
+                             const Error& aError)
+{
+  mRelayMetrics.On(RefuseCaller{ 0, aError, {} });
+  mLog.Add(LogLevel::kWarning, "head-refused", aRequestId, aError.mMessage);
+  const int status = InfoOf(aError.mCode).mHttpStatus;
+  aResponse.Send(mWire.WriteError(aRequestId, aError, status, {}, true));
+  aResponse.Finish(false);
+}
+
 void
 RelayNode::State::OnBadRequest(CallerResponse aResponse, int aStatus)
 {
-  const Error error{ ErrorCode::kBadHttp,
-                     "what came is no request that this node takes" };
-  mLog.Add(
-    LogLevel::kWarning, "bad-request", "", "status=" + std::to_string(aStatus));
-  aResponse.Send(mWire.WriteError("", error, aStatus, {}, true));
+  const bool isFull = aStatus == kServiceUnavailable;
+  const Error error =
+    isFull ? Error{ ErrorCode::kNodeFull,
+                    "this node has no memory for the request's body now" }
+           : Error{ ErrorCode::kBadHttp,
+                    "what came is no request that this node takes" };
+  mRelayMetrics.On(RefuseCaller{ 0, error, {} });
+  mLog.Add(LogLevel::kWarning,
+           isFull ? "node-full" : "bad-request",
+           "",
+           "status=" + std::to_string(aStatus));
+  const Duration retryAfter = isFull ? kFullRetryAfter : Duration{};
+  aResponse.Send(mWire.WriteError("", error, aStatus, retryAfter, true));
   aResponse.Finish(false);
 }
 
@@ -112,7 +170,7 @@
 {
   for (auto it = mExchanges.begin(); it != mExchanges.end(); ++it) {
     if (it->second->BelongsTo(aConnection)) {
-      it->second->Stop();
+      it->second->Drop();
       mFinishedExchanges.push_back(std::move(it->second));
       Post(RelayCallerDisconnected{ it->first });
       mExchanges.erase(it);
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -6,6 +6,7 @@
 
 #include <unistd.h>
 
+#include "heatherfork/detail/relay/answer_limits.h"
 #include "heatherfork/detail/relay/sockets.h"
 
 namespace heatherfork::relay {
@@ -82,12 +83,15 @@
 void
 ServerConnection::Begin(std::string aRequest,
                         bool aIsHeadRequest,
-                        ExchangeListener& aListener)
+                        ExchangeListener& aListener,
+                        SharedBody aBody)
 {
   mListener = &aListener;
   mOnIdleEnd = nullptr;
   mOutput = std::move(aRequest);
   mWrittenBytes = 0;
+  mBody = std::move(aBody);
+  mWrittenBodyBytes = 0;
   mMayHaveSent = false;
   mIsHeadRequest = aIsHeadRequest;
   mHasHandledHead = false;
@@ -117,16 +121,22 @@
 {
   mListener = nullptr;
   mIsReusable = false;
+  mBody = nullptr;
   CloseSocket();
 }
 
+bool
+ServerConnection::HasUnwritten() const
+{
+  return mWrittenBytes < mOutput.size() || mBody != nullptr;
+}
+
 bool
 ServerConnection::CanBeReused() const
 {
   return mDescriptor >= 0 && mIsReusable && !mHasPeerClosed && mInput.empty() &&
-         mWrittenBytes == mOutput.size() && mReader.IsDone() &&
-         mReader.Head().mKeepAlive && mReader.Head().mIsFramed &&
-         mIdleTimeout > Duration{};
+         !HasUnwritten() && mReader.IsDone() && mReader.Head().mKeepAlive &&
+         mReader.Head().mIsFramed && mIdleTimeout > Duration{};
 }
 
 bool
@@ -153,6 +163,8 @@
 ServerConnection::WatchIdle(std::function<void(ServerConnection&)> aOnEnd)
 {
   mListener = nullptr;
+  FreeText(mOutput);
+  mWrittenBytes = 0;
   mOnIdleEnd = std::move(aOnEnd);
   UpdateInterest();
 }
@@ -161,7 +173,7 @@
 ServerConnection::UpdateInterest()
 {
   if (mDescriptor >= 0) {
-    const bool wantsWrite = !mIsEstablished || mWrittenBytes < mOutput.size();
+    const bool wantsWrite = !mIsEstablished || HasUnwritten();
     mLoop.Set(mDescriptor, IoInterest{ mIsEstablished, wantsWrite }, *this);
   }
 }
@@ -171,6 +183,7 @@
 {
   CloseSocket();
   mIsReusable = false;
+  mBody = nullptr;
   ExchangeListener* listener = mListener;
   mListener = nullptr;
   if (listener != nullptr) {
@@ -210,18 +223,31 @@
   if (aReadable || aFailed) {
     ReadAll();
   }
-  if (*alive && mDescriptor >= 0 && mWrittenBytes < mOutput.size()) {
+  if (*alive && mDescriptor >= 0 && HasUnwritten()) {
     Write();
   } else if (*alive && mDescriptor >= 0) {
     UpdateInterest();
   }
 }
 
+IoResult
+ServerConnection::WriteParts()
+{
+  IoResult result = WriteSome(mDescriptor, mOutput, mWrittenBytes);
+  if (result == IoResult::kOk && mBody != nullptr) {
+    result = WriteSome(mDescriptor, *mBody, mWrittenBodyBytes);
+    if (result == IoResult::kOk) {
+      mBody = nullptr;
+    }
+  }
+  return result;
+}
+
 void
 ServerConnection::Write()
 {
   mMayHaveSent = true;
-  if (WriteSome(mDescriptor, mOutput, mWrittenBytes) == IoResult::kFailed) {
+  if (WriteParts() == IoResult::kFailed) {
     // The other side may have answered before it stopped reading. After its
     // close, a write finds EPIPE.
     mIsReset = errno != EPIPE;
@@ -240,7 +266,7 @@
        ++reads) {
     const IoResult result = ReadSome(mDescriptor, mInput);
     if (result == IoResult::kWouldBlock) {
-      if (!mHasPeerClosed && mWrittenBytes < mOutput.size() && mMayHaveSent &&
+      if (!mHasPeerClosed && HasUnwritten() && mMayHaveSent &&
           !IsConnected(mDescriptor)) {
         Fail("connection failed while sending the request");
       }
@@ -365,7 +391,7 @@
 void
 ConnectionPool::Release(ServerConnectionPtr aConnection)
 {
-  if (!aConnection->CanBeReused()) {
+  if (!aConnection->CanBeReused() || mLoop.Descriptors() > mMaxDescriptors) {
     mClosed.push_back(std::move(aConnection));
     return;
   }
--- a/tests/relay/test_crowds.py
+++ b/tests/relay/test_crowds.py
@@ -159,7 +159,8 @@
             cls.store.put("servers/" + replica.name, replica.entry("desk"))
 
     def start_node(self):
-        node = Node("n1", self.store.address, node_lines="memory_mb = %d" % MEMORY_MB)
+        lines = "memory_mb = %d\nfile_descriptors = %d" % (MEMORY_MB, FILE_DESCRIPTORS)
+        node = Node("n1", self.store.address, node_lines=lines)
         node.wait_ready()
         wait_until(lambda: node.log().count("event=replica ") >= 3)
         return node
@@ -193,10 +194,10 @@
             time.sleep(0.1)
         self.assertEqual(200, seen[-1], seen[:10])
 
-    def play(self, port_of, pieces_of, reads=True):
+    def play(self, port_of, pieces_of, reads=True, members=MEMBERS):
         node = self.start_node()
         try:
-            crowd = Crowd(port_of(node), MEMBERS, pieces_of, reads)
+            crowd = Crowd(port_of(node), members, pieces_of, reads)
             try:
                 crowd.play()
                 self.assertIsNone(node.process.poll(), "the process ended")
@@ -221,6 +222,14 @@
                         reads,
                     )
 
+    def test_more_connections_than_descriptors(self):
+        for kind, pieces in [("idle", []), ("half a head", [b"GET"]), ("kept", [request("/often/x")])]:
+            with self.subTest(kind=kind):
+                print("connections: " + kind, flush=True)
+                self.play(
+                    lambda node: node.caller_port, lambda _: pieces, members=FILE_DESCRIPTORS
+                )
+
     # A replica's answer of a legal size, for callers that leave it unread.
     def test_readers_that_read_nothing(self):
         print("slow readers", flush=True)
--- a/tests/unit-caller-port.cpp
+++ b/tests/unit-caller-port.cpp
@@ -60,7 +60,7 @@
 {
 public:
   Port()
-    : mPort(mLoop, mListener)
+    : mPort(mLoop, mListener, mIntake)
   {
     // A port that is free for the caller port to listen on.
     const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -128,6 +128,7 @@
 
   IoLoop mLoop;
   Listener mListener;
+  BodyIntake mIntake{ DivideMemory(128 * kMebibyte) };
   CallerPort mPort;
 
 private:
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -80,21 +80,21 @@
   call.mStage = RelayStage::kDecode;
   call.mKvHolder.mValue = "10.0.0.1:80";
   call.mCacheId = "k";
-  const std::string text = kWire.WriteCall(Head({ kHost,
-                                                  kId,
-                                                  { "Model", "m" },
-                                                  { "Kv-Hold", "theirs" },
-                                                  { "Kv-Source", "theirs" },
-                                                  { "Pin-Ms", "theirs" },
-                                                  { "Deadline-Ms", "9000" },
-                                                  { "Connection", "x-hop" },
-                                                  { "X-Hop", "theirs" } }),
-                                           "ab",
-                                           call,
-                                           Milliseconds(1200));
+  const std::string text = kWire.WriteCallHead(Head({ kHost,
+                                                      kId,
+                                                      { "Model", "m" },
+                                                      { "Kv-Hold", "theirs" },
+                                                      { "Kv-Source", "theirs" },
+                                                      { "Pin-Ms", "theirs" },
+                                                      { "Deadline-Ms", "9000" },
+                                                      { "Connection", "x-hop" },
+                                                      { "X-Hop", "theirs" } }),
+                                               2,
+                                               call,
+                                               Milliseconds(1200));
   STRCMP_EQUAL("POST /p/x?q=1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: r1\r\n"
                "Model: m\r\nDeadline-Ms: 1200\r\nTarget-Instance: i-1\r\n"
-               "Kv-Source: 10.0.0.1:80/k\r\nContent-Length: 2\r\n\r\nab",
+               "Kv-Source: 10.0.0.1:80/k\r\nContent-Length: 2\r\n\r\n",
                text.c_str());
 }
 
