--- a/packages/core/include/heatherfork/detail/relay/key_proof.h
+++ b/packages/core/include/heatherfork/detail/relay/key_proof.h
@@ -25,10 +25,10 @@
   void OnTimer(RelayContext& aContext);
 
   /// Whether requests with keys may be sent now.
-  bool IsCurrent(const RelayContext& aContext) const;
+  bool IsCurrent(const RelaySettings& aSettings, Instant aNow) const;
 
   /// When requests with keys may no longer be sent; empty: no such limit.
-  std::optional<Instant> SendLimit(const RelayContext& aContext) const;
+  std::optional<Instant> SendLimit(const RelaySettings& aSettings) const;
 
   /// Whether the store should be asked because other nodes did not help.
   bool ShouldAskStore(const RelaySettings& aSettings, Instant aNow) const;
--- a/packages/core/include/heatherfork/detail/relay/relay_requests.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_requests.h
@@ -152,6 +152,11 @@
                 const RelaySettings& aSettings,
                 Instant aNow) const;
 
+  /// Why the request is refused whatever its body is, if so.
+  std::optional<Error> HeadError(const RelaySettings& aSettings,
+                                 Instant aNow,
+                                 const RelayRequest& aRequest) const;
+
   /// Refuses what waits for a replica with a key that no workspace holds any
   /// more.
   void RefuseWithdrawnKeys(RelayContext& aContext);
--- a/packages/core/include/heatherfork/relay_reducer.h
+++ b/packages/core/include/heatherfork/relay_reducer.h
@@ -42,6 +42,11 @@
   RelayEffects Reduce(const RelayEvent& aEvent);
 
   RelayView View() const;
+
+  /// Why a request that arrives is refused whatever its body is, if so. Empty
+  /// as long as no routing is known.
+  std::optional<Error> HeadError(const RelayRequest& aRequest,
+                                 Instant aNow) const;
   const Members& KnownMembers() const;
 
   /// Addresses for callers, see EntryAddresses; this node's only while it is
--- a/packages/core/src/relay/relay_admission.cpp
+++ b/packages/core/src/relay/relay_admission.cpp
@@ -1,3 +1,4 @@
+#include "heatherfork/detail/relay/head_check.h"
 #include "heatherfork/detail/relay/relay_log.h"
 #include "heatherfork/detail/relay/relay_requests.h"
 
@@ -16,6 +17,22 @@
 
 } // namespace
 
+std::optional<Error>
+RelayRequests::HeadError(const RelaySettings& aSettings,
+                         Instant aNow,
+                         const RelayRequest& aRequest) const
+{
+  const Route* route = mRoutes.Find(aRequest.mHost, aRequest.mPath);
+  if (route == nullptr) {
+    return NoRouteError(aRequest);
+  }
+  // Without a proof the refusal is another one, and only for now.
+  const bool mayBeKnown = !mWorkspaces.NeedsKeys() || route->mIsAnonymous ||
+                          mWorkspaces.Find(aRequest.mKeyDigest) != nullptr ||
+                          !mKeyProof.IsCurrent(aSettings, aNow);
+  return mayBeKnown ? std::nullopt : std::optional(NoKeyError(aRequest));
+}
+
 std::optional<Error>
 RelayRequests::FindWorkspace(RelayContext& aContext,
                              OpenRequest& aRequest) const
@@ -35,17 +52,14 @@
   }
   // A node that may lack the newest keys doesn't know either that nobody holds
   // this one.
-  if (!mKeyProof.IsCurrent(aContext)) {
+  if (!mKeyProof.IsCurrent(aContext.mSettings, aContext.Now())) {
     return Error{ ErrorCode::kKeysUnconfirmed,
                   UnconfirmedText(mKeyProof.Age(aContext.Now())) };
   }
   if (workspace != nullptr) {
     return std::nullopt;
   }
-  return Error{ ErrorCode::kUnauthorized,
-                aRequest.mRequest.mKeyDigest.empty()
-                  ? "the request names no key"
-                  : "no workspace holds the key of the request" };
+  return NoKeyError(aRequest.mRequest);
 }
 
 bool
@@ -77,7 +91,8 @@
     return false;
   }
   if (aRequest.mHasWorkspaces && !aRequest.mRoute.mIsAnonymous) {
-    aRequest.mSendBefore = mKeyProof.SendLimit(aContext).value_or(Instant{});
+    aRequest.mSendBefore =
+      mKeyProof.SendLimit(aContext.mSettings).value_or(Instant{});
   }
   return true;
 }
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -474,6 +474,15 @@
   return view;
 }
 
+std::optional<Error>
+RelayReducer::HeadError(const RelayRequest& aRequest, Instant aNow) const
+{
+  return mState->mRouting == nullptr
+           ? std::nullopt
+           : mState->mRequests.HeadError(
+               mState->mRelaySettings, aNow, aRequest);
+}
+
 const Members&
 RelayReducer::KnownMembers() const
 {
--- a/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
@@ -40,6 +40,8 @@
   /// Empty if the node has no proof; the metric is left out then.
   void SetKeyProofAge(std::optional<Duration> aAge);
   void SetDroppedLines(std::uint64_t aCount);
+  void SetMemory(const std::string& aPart, std::size_t aBytes);
+  void SetWaitingBodies(std::size_t aCount);
 
   /// Returns all metrics in the Prometheus text format.
   std::string Serialize() const;
@@ -68,6 +70,8 @@
   prometheus::Gauge& mRevision;
   prometheus::Gauge& mLeaving;
   prometheus::Gauge& mDroppedLines;
+  prometheus::Family<prometheus::Gauge>& mMemory;
+  prometheus::Gauge& mWaitingBodies;
 };
 
 /// Answers GET /metrics, and 404 to other requests.
@@ -79,6 +83,9 @@
   void OnRequest(CallerResponse aResponse,
                  const HttpHead& aHead,
                  std::string aBody) override;
+  bool NeedsBody(const HttpHead& /*aHead*/) override { return false; }
+  void OnUnreadRequest(CallerResponse aResponse,
+                       const HttpHead& aHead) override;
   void OnBadRequest(CallerResponse aResponse, int aStatus) override;
   void OnDisconnect(const CallerConnection& aConnection) override;
 
