Quota messages: smallest request, credit ahead, backlog

Cause: an owner can lend only what whole requests use if it knows the smallest one, and must tell demand that waits from demand to come; callers need the time until all that was asked for can be had. Change: QuotaNeed and QuotaCredit have these fields; codec, trace, schema. Result: it compiles; unit-peer-codec has the new fields and is not run yet.

--- a/packages/core/include/heatherfork/detail/trace/fleet_fields.h
+++ b/packages/core/include/heatherfork/detail/trace/fleet_fields.h
@@ -172,6 +172,8 @@
   Fields("QuotaNeed",
          Field{ "workspace", &QuotaNeed::mWorkspace },
          Field{ "wanted", &QuotaNeed::mWanted },
+         Field{ "smallest", &QuotaNeed::mSmallest },
+         Field{ "ahead", &QuotaNeed::mAhead },
          Field{ "returned", &QuotaNeed::mReturned });
 
 template<>
@@ -186,7 +188,8 @@
          Field{ "workspace", &QuotaCredit::mWorkspace },
          Field{ "units", &QuotaCredit::mUnits },
          Field{ "lifetime", &QuotaCredit::mLifetime },
-         Field{ "wait", &QuotaCredit::mWait });
+         Field{ "wait", &QuotaCredit::mWait },
+         Field{ "backlog", &QuotaCredit::mBacklog });
 
 template<>
 inline constexpr auto kFields<QuotaGrant> =
--- a/packages/core/include/heatherfork/peer_message.h
+++ b/packages/core/include/heatherfork/peer_message.h
@@ -368,8 +368,10 @@
 struct QuotaNeed
 {
   WorkspaceName mWorkspace;
-  std::int64_t mWanted = 0;
-  std::int64_t mReturned = 0;
+  std::int64_t mWanted = 0;   ///< For requests that wait.
+  std::int64_t mSmallest = 0; ///< Of these requests.
+  std::int64_t mAhead = 0;    ///< In addition, for requests to come.
+  std::int64_t mReturned = 0; ///< Lent by the receiver and not used.
   auto operator<=>(const QuotaNeed&) const = default;
 };
 
@@ -388,6 +390,7 @@
   std::int64_t mUnits = 0;
   Duration mLifetime{}; ///< Of the units.
   Duration mWait{};     ///< Until more can be had; 0: all that was wanted.
+  Duration mBacklog{};  ///< Until all that was asked for can be had.
   auto operator<=>(const QuotaCredit&) const = default;
 };
 
--- a/packages/peer/src/codec/relay_fields.h
+++ b/packages/peer/src/codec/relay_fields.h
@@ -175,7 +175,7 @@
   aConverter(aCore.mAge, aWire.age);
 }
 
-static_assert(detail::trace::CountFields<QuotaNeed>() == 3);
+static_assert(detail::trace::CountFields<QuotaNeed>() == 5);
 template<class Converter,
          MaybeConst<QuotaNeed> Core,
          MaybeConst<wire::QuotaNeedT> Wire>
@@ -184,6 +184,8 @@
 {
   aConverter(aCore.mWorkspace, aWire.workspace);
   aConverter(aCore.mWanted, aWire.wanted);
+  aConverter(aCore.mSmallest, aWire.smallest);
+  aConverter(aCore.mAhead, aWire.ahead);
   aConverter(aCore.mReturned, aWire.returned);
 }
 
@@ -198,7 +200,7 @@
   aConverter(aCore.mNeeds, aWire.needs);
 }
 
-static_assert(detail::trace::CountFields<QuotaCredit>() == 4);
+static_assert(detail::trace::CountFields<QuotaCredit>() == 5);
 template<class Converter,
          MaybeConst<QuotaCredit> Core,
          MaybeConst<wire::QuotaCreditT> Wire>
@@ -209,6 +211,7 @@
   aConverter(aCore.mUnits, aWire.units);
   aConverter(aCore.mLifetime, aWire.lifetime);
   aConverter(aCore.mWait, aWire.wait);
+  aConverter(aCore.mBacklog, aWire.backlog);
 }
 
 static_assert(detail::trace::CountFields<QuotaGrant>() == 2);
--- a/tests/unit-peer-codec.cpp
+++ b/tests/unit-peer-codec.cpp
@@ -121,10 +121,13 @@
     LeavingReport{ { { ServerName{ "s" }, 5 } } },
     KeyProofRequest{ 7 },
     KeyProofReply{ 7, 12, Milliseconds(300) },
-    QuotaRequest{ 8, { { WorkspaceName{ "w" }, 500, 20 } } },
-    QuotaGrant{
-      8,
-      { { WorkspaceName{ "w" }, 400, Milliseconds(1000), Milliseconds(50) } } },
+    QuotaRequest{ 8, { { WorkspaceName{ "w" }, 500, 100, 50, 20 } } },
+    QuotaGrant{ 8,
+                { { WorkspaceName{ "w" },
+                    400,
+                    Milliseconds(1000),
+                    Milliseconds(50),
+                    Milliseconds(90) } } },
   };
 }
 
