Requests take units of their workspace's quota before they are placed

Cause: the reducer knew quotas, but asked nothing about them. Change: a phase of their own in which requests wait for units; 429 with the time until there is credit, 503 if no owner answers; units of what has not run are given back; log lines quota and quota-owners; metrics heatherfork_quota_units and heatherfork_quota_buckets. Workspaces without a rate are served as before.

--- a/packages/core/include/heatherfork/detail/relay/relay_requests.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_requests.h
@@ -11,6 +11,7 @@
 #include "heatherfork/detail/relay/route_table.h"
 #include "heatherfork/detail/relay/server_backoffs.h"
 #include "heatherfork/detail/relay/service_retry_budget.h"
+#include "heatherfork/detail/relay/workspace_quotas.h"
 #include "heatherfork/detail/relay/workspace_table.h"
 #include "heatherfork/detail/scheduling/shard_chooser.h"
 #include "heatherfork/relay_effect.h"
@@ -37,6 +38,7 @@
 {
   enum class Phase : std::uint8_t
   {
+    kAwaitingQuota, ///< For units of its workspace's quota.
     kPlacing,
     kPrefilling,
     kAnswering, ///< Sent for an answer; no event is forwarded yet.
@@ -51,6 +53,7 @@
   bool mHasWorkspaces = false; ///< Workspaces were configured at its arrival.
   WorkspaceName mWorkspace;    ///< Empty for a request without a known key.
   int mRank = 0;               ///< Of its workspace or its route.
+  QuotaTaken mQuotaTaken;      ///< Of its workspace.
   Instant mArrivedAt{};
   Instant mExpiresAt{};   ///< Deadline or timeout, whichever is first.
   Instant mLastEventAt{}; ///< Of the stream at the caller, or the arrival.
@@ -96,9 +99,16 @@
   void On(RelayContext& aContext,
           const NodeId& aFrom,
           const ContentReport& aReport);
+  void On(RelayContext& aContext,
+          const NodeId& aFrom,
+          const QuotaRequest& aRequest);
+  void On(RelayContext& aContext,
+          const NodeId& aFrom,
+          const QuotaGrant& aGrant);
   void On(RelayContext& aContext, const Placed& aPlaced);
   void On(RelayContext& aContext, const PlacementQueued& aQueued);
   void On(RelayContext& aContext, const PlacementRefused& aRefused);
+  void UpdateQuotas(RelayContext& aContext, const RoutingPtr& aRouting);
   void OnNodeGone(RelayContext& aContext, const NodeId& aNode);
 
   /// The connection to a node broke and messages are lost; the node may still
@@ -129,6 +139,7 @@
 
   std::size_t Size() const { return mOpen.size(); }
   const HeardLimits& Limits() const { return mLimits; }
+  const WorkspaceQuotas& Quotas() const { return mQuotas; }
 
   /// Earliest expiry of the open requests; empty when there are none. Linear.
   std::optional<Instant> NextExpiry() const;
@@ -141,6 +152,24 @@
   /// Finds the workspace of the request. Returns false if it was refused.
   bool AdmitKey(RelayContext& aContext, OpenRequest& aRequest);
 
+  /// Takes units of the workspace's quota. Returns false if the request was
+  /// refused or waits for units.
+  bool AdmitQuota(RelayContext& aContext, OpenRequest& aRequest);
+  bool Apply(RelayContext& aContext,
+             OpenRequest& aRequest,
+             const QuotaDecision& aDecision);
+
+  /// Goes on with requests that have waited for units.
+  void Resume(RelayContext& aContext,
+              const std::vector<WorkspaceDecision>& aDecisions);
+
+  /// Gives back the units of a request that ends and has not run.
+  void SettleQuota(RelayContext& aContext, const OpenRequest& aRequest);
+  void LogQuotaRefusal(RelayContext& aContext,
+                       const OpenRequest& aRequest,
+                       const QuotaDecision& aDecision);
+  void OnQuotaTimer(RelayContext& aContext);
+
   void Refuse(RelayContext& aContext,
               OpenRequest& aRequest,
               Error aError,
@@ -275,6 +304,8 @@
 
   RouteTable mRoutes;
   WorkspaceTable mWorkspaces;
+  WorkspaceQuotas mQuotas;
+  std::map<WorkspaceName, Instant> mQuotaLoggedAt; ///< Last refusal logged.
   ShardChooser mShards;
   ServiceRetryBudget mBudget;
   ContentGuard mContentGuard;
--- a/packages/core/include/heatherfork/relay_reducer.h
+++ b/packages/core/include/heatherfork/relay_reducer.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "heatherfork/node_settings.h"
+#include "heatherfork/quota_counts.h"
 #include "heatherfork/relay_effect.h"
 #include "heatherfork/relay_event.h"
 #include "heatherfork/relay_settings.h"
@@ -19,6 +20,8 @@
   std::size_t mOpenRequests = 0;
   bool mLeaving = false;
   std::vector<ServerLimit> mLimits; ///< In force, as this node heard them.
+  std::vector<QuotaCounts> mQuotas; ///< Those with the most used units.
+  std::size_t mOwnedQuotas = 0; ///< Workspaces that get credit of this node.
 
   /// Whether this node accepts callers.
   bool IsReady() const
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -249,6 +249,7 @@
   }
   mRouting = aEvent.mRouting;
   mRequests.Update(mRouting);
+  mRequests.UpdateQuotas(aContext, mRouting);
   aContext.Emit(
     RelayLogEntry{ "routing",
                    "",
@@ -471,6 +472,8 @@
   view.mOpenRequests = mState->mRequests.Size();
   view.mLeaving = mState->mIsLeaving;
   view.mLimits = mState->mRequests.Limits().All(mState->mNow);
+  view.mQuotas = mState->mRequests.Quotas().Counts();
+  view.mOwnedQuotas = mState->mRequests.Quotas().Owned();
   return view;
 }
 
--- a/packages/core/src/relay/relay_requests.cpp
+++ b/packages/core/src/relay/relay_requests.cpp
@@ -69,6 +69,7 @@
 RelayRequests::Close(RelayContext& aContext, OpenRequest& aRequest)
 {
   DropSuccessor(aContext, aRequest);
+  SettleQuota(aContext, aRequest);
   mCallerByAttempt.erase(aRequest.mPlacement.mAttempt);
   mOpen.erase(aRequest.mCaller);
 }
@@ -172,7 +173,7 @@
     OnExpired(aContext, open);
     return;
   }
-  if (RefuseCrashingContent(aContext, open)) {
+  if (RefuseCrashingContent(aContext, open) || !AdmitQuota(aContext, open)) {
     return;
   }
   Place(aContext, open, false);
@@ -189,7 +190,7 @@
                 RelayOutcome::kAbandoned,
                 *request,
                 "calls=" + std::to_string(request->mCalls));
-  if (request->mPhase != Phase::kPlacing) {
+  if (request->mPhase != Phase::kPlacing && request->mCalls > 0) {
     aContext.Emit(StopCall{ { request->mCaller, request->mCalls } });
   }
   EndPlacement(aContext, *request, PlacementResult::kAbandoned, {}, 0);
@@ -269,6 +270,7 @@
 void
 RelayRequests::OnTimer(RelayContext& aContext)
 {
+  OnQuotaTimer(aContext);
   mContentGuard.OnTimer(aContext);
   RefuseWaitingContent(aContext);
   mBackoffs.Expire(aContext.Now());
--- a/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
@@ -32,6 +32,7 @@
   void On(const RelayLogEntry& aEntry);
 
   void SetState(const RelayView& aView, const Members& aMembers);
+  void SetQuotas(const RelayView& aView);
   void SetLimits(const std::vector<ServerLimit>& aLimits);
   void SetUpdateAge(const std::string& aReader, Duration aAge);
   void SetDroppedLines(std::uint64_t aCount);
@@ -51,6 +52,9 @@
   prometheus::Family<prometheus::Gauge>& mServerLimits;
   prometheus::Family<prometheus::Gauge>& mServerLimitAges;
   std::vector<std::pair<prometheus::Gauge*, prometheus::Gauge*>> mLimits;
+  prometheus::Family<prometheus::Gauge>& mQuotaUnits;
+  std::vector<prometheus::Gauge*> mQuotas;
+  prometheus::Gauge& mOwnedQuotas;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mReplicas;
   prometheus::Gauge& mRevision;
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -66,6 +66,16 @@
                        .Name("heatherfork_server_limit_age_seconds")
                        .Help("Since an answer last named the limit.")
                        .Register(mRegistry))
+  , mQuotaUnits(prometheus::BuildGauge()
+                  .Name("heatherfork_quota_units")
+                  .Help("Units of a workspace's quota since there is demand, "
+                        "of the workspaces with the most used units.")
+                  .Register(mRegistry))
+  , mOwnedQuotas(prometheus::BuildGauge()
+                   .Name("heatherfork_quota_buckets")
+                   .Help("Workspaces that get credit of this node.")
+                   .Register(mRegistry)
+                   .Add({}))
   , mOpenRequests(prometheus::BuildGauge()
                     .Name("heatherfork_relay_open_requests")
                     .Help("Requests without a last word.")
@@ -149,6 +159,30 @@
   mLeaving.Set(aView.mLeaving ? 1 : 0);
 }
 
+void
+RelayMetrics::SetQuotas(const RelayView& aView)
+{
+  for (prometheus::Gauge* gauge : mQuotas) {
+    mQuotaUnits.Remove(gauge);
+  }
+  mQuotas.clear();
+  for (const QuotaCounts& counts : aView.mQuotas) {
+    const std::pair<const char*, std::int64_t> kinds[] = {
+      { "lent", counts.mLent },
+      { "used", counts.mUsed },
+      { "returned", counts.mReturned },
+      { "refused", counts.mRefused },
+    };
+    for (const auto& [kind, units] : kinds) {
+      prometheus::Gauge& gauge = mQuotaUnits.Add(
+        { { "tenant", counts.mWorkspace.mValue }, { "kind", kind } });
+      gauge.Set(static_cast<double>(units));
+      mQuotas.push_back(&gauge);
+    }
+  }
+  mOwnedQuotas.Set(static_cast<double>(aView.mOwnedQuotas));
+}
+
 void
 RelayMetrics::SetLimits(const std::vector<ServerLimit>& aLimits)
 {
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -263,6 +263,7 @@
 RelayNode::State::MetricsText()
 {
   mRelayMetrics.SetState(mReducer.View(), mReducer.KnownMembers());
+  mRelayMetrics.SetQuotas(mReducer.View());
   mRelayMetrics.SetLimits(mReducer.View().mLimits);
   mRelayMetrics.SetUpdateAge("routing",
                              mStoreWatch.RoutingReader().UpdateAge());
