--- a/packages/core/include/heatherfork/detail/relay/relay_requests.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_requests.h
@@ -12,6 +12,7 @@
 #include "heatherfork/detail/relay/route_table.h"
 #include "heatherfork/detail/relay/server_backoffs.h"
 #include "heatherfork/detail/relay/service_retry_budget.h"
+#include "heatherfork/detail/relay/workspace_quotas.h"
 #include "heatherfork/detail/relay/workspace_table.h"
 #include "heatherfork/detail/scheduling/shard_chooser.h"
 #include "heatherfork/relay_effect.h"
@@ -39,6 +40,7 @@
 {
   enum class Phase : std::uint8_t
   {
+    kAwaitingQuota, ///< For units of its workspace's quota.
     kPlacing,
     kPrefilling,
     kAnswering, ///< Sent for an answer; no event is forwarded yet.
@@ -54,6 +56,7 @@
   WorkspaceName mWorkspace;    ///< Empty for a request without a known key.
   Instant mSendBefore{};       ///< Of the newest call, see StartCall.
   int mRank = 0;               ///< Of its workspace or its route.
+  QuotaTaken mQuotaTaken;      ///< Of its workspace.
   Instant mArrivedAt{};
   Instant mExpiresAt{};   ///< Deadline or timeout, whichever is first.
   Instant mLastEventAt{}; ///< Of the stream at the caller, or the arrival.
@@ -114,9 +117,16 @@
   {
     mKeyProof.On(aContext, aReply);
   }
+  void On(RelayContext& aContext,
+          const NodeId& aFrom,
+          const QuotaRequest& aRequest);
+  void On(RelayContext& aContext,
+          const NodeId& aFrom,
+          const QuotaGrant& aGrant);
   void On(RelayContext& aContext, const Placed& aPlaced);
   void On(RelayContext& aContext, const PlacementQueued& aQueued);
   void On(RelayContext& aContext, const PlacementRefused& aRefused);
+  void UpdateQuotas(RelayContext& aContext, const RoutingPtr& aRouting);
   void OnNodeGone(RelayContext& aContext, const NodeId& aNode);
 
   /// The connection to a node broke and messages are lost; the node may still
@@ -187,6 +197,23 @@
                         OpenRequest& aRequest,
                         const RelayCallEnded& aEnded);
   void GiveUpKey(RelayContext& aContext, OpenRequest& aRequest, Error aError);
+  /// Takes units of the workspace's quota. Returns false if the request was
+  /// refused or waits for units.
+  bool AdmitQuota(RelayContext& aContext, OpenRequest& aRequest);
+  bool Apply(RelayContext& aContext,
+             OpenRequest& aRequest,
+             const QuotaDecision& aDecision);
+
+  /// Goes on with requests that have waited for units.
+  void Resume(RelayContext& aContext,
+              const std::vector<WorkspaceDecision>& aDecisions);
+
+  /// Gives back the units of a request that ends and has not run.
+  void SettleQuota(RelayContext& aContext, const OpenRequest& aRequest);
+  void LogQuotaRefusal(RelayContext& aContext,
+                       const OpenRequest& aRequest,
+                       const QuotaDecision& aDecision);
+  void OnQuotaTimer(RelayContext& aContext);
 
   void Refuse(RelayContext& aContext,
               OpenRequest& aRequest,
@@ -323,6 +350,8 @@
   RouteTable mRoutes;
   WorkspaceTable mWorkspaces;
   KeyProof mKeyProof;
+  WorkspaceQuotas mQuotas;
+  std::map<WorkspaceName, Instant> mQuotaLoggedAt; ///< Last refusal logged.
   ShardChooser mShards;
   ServiceRetryBudget mBudget;
   ContentGuard mContentGuard;
--- a/packages/core/include/heatherfork/relay_reducer.h
+++ b/packages/core/include/heatherfork/relay_reducer.h
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "heatherfork/node_settings.h"
+#include "heatherfork/quota_counts.h"
 #include "heatherfork/relay_effect.h"
 #include "heatherfork/relay_event.h"
 #include "heatherfork/relay_settings.h"
@@ -20,7 +21,9 @@
   bool mLeaving = false;
   std::vector<ServerLimit> mLimits;     ///< In force, as this node heard them.
   std::optional<Duration> mKeyProofAge; ///< See detail::KeyProof.
-  bool mShouldAskStore = false; ///< Other nodes don't confirm the routes.
+  bool mShouldAskStore = false;     ///< Other nodes don't confirm the routes.
+  std::vector<QuotaCounts> mQuotas; ///< Those with the most used units.
+  std::size_t mOwnedQuotas = 0; ///< Workspaces that get credit of this node.
 
   /// Whether this node accepts callers.
   bool IsReady() const
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -249,6 +249,7 @@
   }
   mRouting = aEvent.mRouting;
   mRequests.Update(mRouting);
+  mRequests.UpdateQuotas(aContext, mRouting);
   aContext.Emit(
     RelayLogEntry{ "routing",
                    "",
--- a/packages/core/src/relay/relay_requests.cpp
+++ b/packages/core/src/relay/relay_requests.cpp
@@ -65,6 +65,8 @@
   aView.mLimits = mLimits.All(aNow);
   aView.mKeyProofAge = mKeyProof.Age(aNow);
   aView.mShouldAskStore = mKeyProof.ShouldAskStore(aSettings, aNow);
+  aView.mQuotas = mQuotas.Counts();
+  aView.mOwnedQuotas = mQuotas.Owned();
 }
 
 std::optional<Instant>
@@ -81,6 +83,7 @@
 RelayRequests::Close(RelayContext& aContext, OpenRequest& aRequest)
 {
   DropSuccessor(aContext, aRequest);
+  SettleQuota(aContext, aRequest);
   mCallerByAttempt.erase(aRequest.mPlacement.mAttempt);
   mOpen.erase(aRequest.mCaller);
 }
@@ -179,7 +182,7 @@
     OnExpired(aContext, open);
     return;
   }
-  if (RefuseCrashingContent(aContext, open)) {
+  if (RefuseCrashingContent(aContext, open) || !AdmitQuota(aContext, open)) {
     return;
   }
   Place(aContext, open, false);
@@ -196,7 +199,7 @@
                 RelayOutcome::kAbandoned,
                 *request,
                 "calls=" + std::to_string(request->mCalls));
-  if (request->mPhase != Phase::kPlacing) {
+  if (request->mPhase != Phase::kPlacing && request->mCalls > 0) {
     aContext.Emit(StopCall{ { request->mCaller, request->mCalls } });
   }
   EndPlacement(aContext, *request, PlacementResult::kAbandoned, {}, 0);
@@ -277,6 +280,7 @@
 RelayRequests::OnTimer(RelayContext& aContext)
 {
   mKeyProof.OnTimer(aContext);
+  OnQuotaTimer(aContext);
   mContentGuard.OnTimer(aContext);
   RefuseWaitingContent(aContext);
   mBackoffs.Expire(aContext.Now());
--- a/packages/node/include/heatherfork/relay_settings_file.h
+++ b/packages/node/include/heatherfork/relay_settings_file.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,14 @@
 bool
 IsRelaySettings(const std::string& aToml);
 
+/// The value of an environment variable; empty if it is not set.
+using EnvironmentLookup = std::function<std::string(const char*)>;
+
 /// Parses and validates settings; reports all mistakes, not only the first.
+/// Variables such as HEATHERFORK_QUOTA_SLACK set keys that the file lacks.
 /// O(n).
 RelaySettingsResult
-ReadRelaySettings(const std::string& aToml);
+ReadRelaySettings(const std::string& aToml,
+                  const EnvironmentLookup& aEnvironment = {});
 
 } // namespace heatherfork
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -115,7 +116,12 @@
          bool aCheckOnly,
          const sigset_t& aSignals)
 {
-  RelaySettingsResult read = ReadRelaySettings(aToml);
+  RelaySettingsResult read =
+    ReadRelaySettings(aToml, [](const char* aName) -> std::string {
+      // Nothing changes the environment, and no other thread runs yet.
+      const char* value = std::getenv(aName);
+      return value == nullptr ? "" : value;
+    });
   if (!CheckNoMistakes(read.mMistakes, aPath)) {
     return kExitUsage;
   }
--- a/packages/node/src/settings/relay_settings.cpp
+++ b/packages/node/src/settings/relay_settings.cpp
@@ -99,6 +99,50 @@
   reader.Finish();
 }
 
+/// A key that an environment variable can set.
+struct EnvironmentKey
+{
+  const char* mVariable;
+  const char* mTable;
+  const char* mKey;
+  const char* mSwitch = nullptr; ///< Must be "true", unless there is none.
+};
+
+constexpr EnvironmentKey kEnvironmentKeys[] = {
+  { "HEATHERFORK_FILE_DESCRIPTORS", "node", "file_descriptors" },
+  { "HEATHERFORK_KEY_WITHDRAWAL_BOUND_MS",
+    "relay",
+    "key_withdrawal_bound_ms",
+    "HEATHERFORK_KEY_WITHDRAWAL_STRICT" },
+  { "HEATHERFORK_QUOTA_WINDOW_S", "relay", "quota_window_s" },
+  { "HEATHERFORK_QUOTA_OVERSHOOT", "relay", "quota_overshoot" },
+  { "HEATHERFORK_QUOTA_SLACK", "relay", "quota_slack" },
+};
+
+// Keys of the file go first. The readers of the tables check the values.
+void
+AddFromEnvironment(toml::table& aSettings,
+                   const EnvironmentLookup& aEnvironment,
+                   std::vector<SettingsMistake>& aMistakes)
+{
+  for (const EnvironmentKey& item : kEnvironmentKeys) {
+    const std::string value = aEnvironment(item.mVariable);
+    const bool isOn =
+      item.mSwitch == nullptr || aEnvironment(item.mSwitch) == "true";
+    toml::table* table = aSettings[item.mTable].as_table();
+    if (value.empty() || !isOn || table == nullptr ||
+        table->contains(item.mKey)) {
+      continue;
+    }
+    const auto parsed = ParseSettings("value = " + value, aMistakes);
+    if (!parsed) {
+      aMistakes.back().mKey = item.mVariable;
+      continue;
+    }
+    table->insert(item.mKey, *parsed->get("value"));
+  }
+}
+
 } // namespace
 
 bool
@@ -112,13 +156,17 @@
 }
 
 RelaySettingsResult
-ReadRelaySettings(const std::string& aToml)
+ReadRelaySettings(const std::string& aToml,
+                  const EnvironmentLookup& aEnvironment)
 {
   RelaySettingsResult result;
-  const auto table = ParseSettings(aToml, result.mMistakes);
+  auto table = ParseSettings(aToml, result.mMistakes);
   if (!table) {
     return result;
   }
+  if (aEnvironment) {
+    AddFromEnvironment(*table, aEnvironment, result.mMistakes);
+  }
   SettingsReader reader(*table, "", result.mMistakes);
   ReadNode(reader.Table("node"), result);
   ReadKeys(reader.Table("keys"), result);
--- a/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
@@ -35,6 +35,7 @@
   void On(const RelayLogEntry& aEntry);
 
   void SetState(const RelayView& aView, const Members& aMembers);
+  void SetQuotas(const RelayView& aView);
   void SetLimits(const std::vector<ServerLimit>& aLimits);
   void SetUpdateAge(const std::string& aReader, Duration aAge);
   /// Empty if the node has no proof; the metric is left out then.
@@ -65,6 +66,9 @@
   prometheus::Family<prometheus::Gauge>& mServerLimits;
   prometheus::Family<prometheus::Gauge>& mServerLimitAges;
   std::vector<std::pair<prometheus::Gauge*, prometheus::Gauge*>> mLimits;
+  prometheus::Family<prometheus::Gauge>& mQuotaUnits;
+  std::vector<prometheus::Gauge*> mQuotas;
+  prometheus::Gauge& mOwnedQuotas;
   prometheus::Gauge& mOpenRequests;
   prometheus::Gauge& mReplicas;
   prometheus::Gauge& mRevision;
