--- a/packages/relay/include/heatherfork/detail/relay/node_memory.h
+++ b/packages/relay/include/heatherfork/detail/relay/node_memory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstddef>
 
 /// How the memory and the descriptors of a node's machine are divided.
