An owner asks itself for nothing ahead, and only once an answer

Cause: with no interval between its own questions an owner that had nothing to lend ahead asked itself again in each answer, without end: unit-quotas did not get past its first row in 25 s. Change: credit ahead is for other owners; a node's own grant leads to no question; idle accounts ask nothing at timers.

--- a/packages/core/include/heatherfork/detail/relay/quota_credit.h
+++ b/packages/core/include/heatherfork/detail/relay/quota_credit.h
@@ -46,8 +46,11 @@
   /// The units of a granted request that did not run.
   void GiveBack(Instant aNow, std::int64_t aUnits, Instant aValidUntil);
 
+  /// Whether there may be something to ask for.
+  bool IsActive(Instant aNow) const;
+
   /// What to ask aOwner for now, if anything. aInterval: minimum time between
-  /// two questions.
+  /// two questions; 0 for this node itself, which is asked for nothing ahead.
   std::optional<QuotaNeed> NextNeed(Instant aNow,
                                     const NodeId& aOwner,
                                     const QuotaPlan& aPlan,
--- a/packages/core/src/relay/quota_credit.cpp
+++ b/packages/core/src/relay/quota_credit.cpp
@@ -11,6 +11,7 @@
 constexpr Duration kAnswerTimeout = Milliseconds(250);
 constexpr Duration kMinRetryAfter = Milliseconds(100);
 constexpr Duration kMaxEmptyTime = Milliseconds(250);
+constexpr Duration kDemandTime = Milliseconds(500); ///< Then it has ended.
 constexpr double kDemandSeconds = 0.5;
 constexpr Duration kIdleTime = Milliseconds(60000);
 
@@ -141,6 +142,12 @@
   }
 }
 
+bool
+QuotaCreditAccount::IsActive(Instant aNow) const
+{
+  return !mWaiting.empty() || mReturned > 0 || aNow - mDemandAt < kDemandTime;
+}
+
 std::optional<QuotaNeed>
 QuotaCreditAccount::NextNeed(Instant aNow,
                              const NodeId& aOwner,
@@ -164,7 +171,8 @@
   const auto expected =
     static_cast<std::int64_t>(DemandRate(aNow) * ToSeconds(aPlan.mLifetime));
   // Less than a whole request would lie unused.
-  if (aNow >= mEmptyUntil && expected >= mLastUnits && held < expected / 2) {
+  if (aInterval > Duration{} && aNow >= mEmptyUntil && expected >= mLastUnits &&
+      held < expected / 2) {
     need.mAhead = expected - (need.mWanted > 0 ? 0 : held);
   }
   if (mLender != aOwner) {
--- a/packages/core/src/relay/workspace_quotas.cpp
+++ b/packages/core/src/relay/workspace_quotas.cpp
@@ -204,7 +204,9 @@
              it->second.On(aContext.mNow, credit, aFrom, sentAt));
     }
   }
-  Ask(aContext, answered);
+  if (aFrom != aContext.mSettings.mSelf) {
+    Ask(aContext, answered);
+  }
   return decisions;
 }
 
@@ -216,7 +218,9 @@
   std::vector<WorkspaceName> asking;
   for (auto& [name, account] : mAccounts) {
     Append(decisions, name, account.Expire(aContext.mNow));
-    asking.push_back(name);
+    if (account.IsActive(aContext.mNow)) {
+      asking.push_back(name);
+    }
   }
   Ask(aContext, asking);
   std::erase_if(mQuestions, [&](const auto& aItem) {
--- a/tests/unit-quota-credit.cpp
+++ b/tests/unit-quota-credit.cpp
@@ -190,15 +190,19 @@
   {
     std::int64_t mUnits;
     int mRequests; ///< Ten milliseconds apart.
+    Duration mInterval;
     bool mAsksAhead;
   };
-  const Row kRows[] = { { 1, 20, true }, { 1, 1, false }, { 50, 1, false } };
+  const Row kRows[] = { { 1, 20, kInterval, true },
+                        { 1, 1, kInterval, false },
+                        { 50, 1, kInterval, false },
+                        { 1, 20, Duration{}, false } };
   for (const Row& row : kRows) {
     QuotaCreditAccount account;
     for (int n = 0; n < row.mRequests; ++n) {
       account.Take(At(10 * n), n, row.mUnits, At(9000));
     }
-    const auto need = account.NextNeed(At(200), kOwner, Plan(), kInterval);
+    const auto need = account.NextNeed(At(200), kOwner, Plan(), row.mInterval);
     CHECK_EQUAL(row.mUnits * row.mRequests, need->mWanted);
     CHECK_EQUAL(row.mAsksAhead, need->mAhead > 0);
   }
