--- a/packages/relay/src/workspace_labels.cpp
+++ b/packages/relay/src/workspace_labels.cpp
@@ -1,6 +1,7 @@
 #include "heatherfork/detail/relay/workspace_labels.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace heatherfork::relay {
 
@@ -46,10 +47,9 @@
       count <= kReplaceFactor * mCounts.at(*smallest)) {
     return { kCommonLabel, {} };
   }
-  const WorkspaceName replaced = *smallest;
-  mLabelled.erase(smallest);
+  WorkspaceName replaced = std::move(mLabelled.extract(smallest).value());
   mLabelled.insert(aWorkspace);
-  return { aWorkspace.mValue, replaced };
+  return { aWorkspace.mValue, std::move(replaced) };
 }
 
 } // namespace heatherfork::relay
--- a/tests/unit-store-pacing.cpp
+++ b/tests/unit-store-pacing.cpp
@@ -125,3 +125,18 @@
     CHECK_TEXT(pacing.CanUpdatePeers(now) == row.mCanUpdatePeers, row.mName);
   }
 }
+
+// Updates from peers say nothing about when the store wrote them.
+TEST(StorePacing, NonReaderCallsStoreForConfirmation)
+{
+  StorePacing pacing = MakePacing(false);
+  pacing.OnPeerUpdate(kStart);
+  CHECK_FALSE(pacing.IsDue(kStart, true));
+  pacing.SetNeedsConfirmation(true);
+  CHECK(pacing.IsDue(kStart, true));
+  pacing.OnFailed(kStart);
+  CHECK_FALSE(pacing.IsDue(kStart, true));
+  pacing.SetNeedsConfirmation(false);
+  pacing.OnWatchAnswer(kStart);
+  CHECK_FALSE(pacing.IsDue(kStart + Milliseconds(999), true));
+}
