unit-relay-messages compares the bytes of an event as a view

Cause: an event's bytes are a view of the stream's buffer since events of one read leave together; the test compiled only against a string. Change: the same bytes are compared by ==, as strict as before.

--- a/tests/unit-relay-messages.cpp
+++ b/tests/unit-relay-messages.cpp
@@ -179,7 +179,7 @@
   const auto second = stream.TakeNext();
   CHECK(first.has_value() && second.has_value());
   STRCMP_EQUAL("1", first->mId.c_str());
-  STRCMP_EQUAL("id: 1\ndata: a\n\n", first->mBytes.c_str());
+  CHECK("id: 1\ndata: a\n\n" == first->mBytes);
   STRCMP_EQUAL("2", second->mId.c_str());
   CHECK_FALSE(stream.TakeNext().has_value());
   CHECK(stream.HasPartialEvent());
