unit-platform: a value is appended to, as the linter asks

Cause: clang-tidy found two concatenations that make temporary strings in the new test of workspaces. Change: the text is appended piece by piece; what is compared stays the same.

--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -219,9 +219,10 @@
   for (const Row& row : kRows) {
     const std::string list =
       row.mWorkspaces.empty() ? "" : R"("Tenants":)" + row.mWorkspaces + ",";
+    std::string value = "{" + list;
+    value.append(kRoutes).append(",").append(kRest).append("}");
     std::string reason;
-    const RoutingPtr routing =
-      kWire.ReadRouting("{" + list + kRoutes + "," + kRest + "}", reason);
+    const RoutingPtr routing = kWire.ReadRouting(value, reason);
     CHECK_TEXT(routing != nullptr, reason.c_str());
     CHECK_EQUAL_TEXT(row.mNeedsKeys, routing->mNeedsKeys, row.mName);
     CHECK_TEXT(row.mExpected == routing->mWorkspaces, row.mName);
