Connections take turns on the loop, long ones behind the others

Change: a round lasts 5 ms; connections whose last turn took 1 ms or more go behind the others, at least one of them is served in each round; an interest that was taken back after the poll is not served any more.

--- a/packages/relay/include/heatherfork/detail/relay/io_loop.h
+++ b/packages/relay/include/heatherfork/detail/relay/io_loop.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "heatherfork/detail/relay/turn_queue.h"
 #include "heatherfork/time.h"
 
 /// Single-threaded event loop over file descriptors.
@@ -48,7 +49,8 @@
   /// events that were already polled.
   void Remove(int aDescriptor);
 
-  /// Waits at most aLimit for events, then calls handlers and posted functions.
+  /// Waits at most aLimit for events, then calls handlers, for one round of
+  /// turns, and posted functions. Descriptors without a turn remain queued.
   void Wait(Duration aLimit);
 
   /// Sets what is called with the reason when a handler or a posted function
@@ -60,6 +62,10 @@
   void Post(std::function<void()> aFunction);
 
 private:
+  void Poll(Duration aLimit);
+  void ServeRound();
+  void Serve(TurnQueue::Key aKey);
+  void RecordTurn(TurnQueue::Key aKey, Duration aTook);
   void RunPosted();
   template<class Function>
   bool Guard(const Function& aFunction);
@@ -69,12 +75,17 @@
     IoHandler* mHandler = nullptr;
     IoInterest mInterest;
     std::uint32_t mGeneration = 0; ///< Distinguishes uses of one number.
+    std::uint32_t mPending = 0;    ///< Polled events; queued if not 0.
+    bool mWasLong = false;         ///< Its last turn.
   };
 
+  Entry* Find(TurnQueue::Key aKey);
+
   int mEpollDescriptor = -1;
   int mWakeDescriptor = -1;
   std::uint32_t mLastGeneration = 0;
   std::unordered_map<int, Entry> mEntries;
+  TurnQueue mTurns;
   std::function<void(const std::string&)> mErrorHandler;
   std::mutex mMutex;
   std::vector<std::function<void()>> mPosted;
--- a/packages/relay/src/io_loop.cpp
+++ b/packages/relay/src/io_loop.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr int kMaxEventsPerWait = 128; // Events handled per Wait.
+constexpr int kMaxEventsPerWait = 128; // Events polled per Wait.
 
 std::uint32_t
 EventsOf(IoInterest aInterest)
@@ -112,8 +112,26 @@
   }
 }
 
+IoLoop::Entry*
+IoLoop::Find(TurnQueue::Key aKey)
+{
+  const auto it = mEntries.find(static_cast<int>(aKey & 0xffffffffU));
+  const auto generation = static_cast<std::uint32_t>(aKey >> 32);
+  return it == mEntries.end() || it->second.mGeneration != generation
+           ? nullptr
+           : &it->second;
+}
+
 void
 IoLoop::Wait(Duration aLimit)
+{
+  Poll(mTurns.IsEmpty() ? aLimit : Duration{});
+  ServeRound();
+  RunPosted();
+}
+
+void
+IoLoop::Poll(Duration aLimit)
 {
   std::array<epoll_event, kMaxEventsPerWait> ready{};
   const auto limit = static_cast<int>((aLimit.count() + 999) / 1000);
@@ -121,33 +139,68 @@
     epoll_wait(mEpollDescriptor, ready.data(), kMaxEventsPerWait, limit);
   for (int n = 0; n < count; ++n) {
     const epoll_event& event = ready[static_cast<std::size_t>(n)];
-    const auto descriptor = static_cast<int>(event.data.u64 & 0xffffffffU);
-    if (descriptor == mWakeDescriptor) {
+    if (event.data.u64 == TagOf(mWakeDescriptor, 0)) {
       std::uint64_t value = 0;
       while (read(mWakeDescriptor, &value, sizeof(value)) > 0) {
       }
       continue;
     }
-    const auto it = mEntries.find(descriptor);
-    const auto generation = static_cast<std::uint32_t>(event.data.u64 >> 32);
-    if (it == mEntries.end() || it->second.mGeneration != generation) {
-      continue; // A handler called earlier in this loop removed it.
-    }
-    IoHandler& handler = *it->second.mHandler;
-    const bool hasReturned = Guard([&] {
-      handler.OnIo((event.events & EPOLLIN) != 0,
-                   (event.events & EPOLLOUT) != 0,
-                   (event.events & (EPOLLERR | EPOLLHUP)) != 0);
-    });
-    // The handler may have closed its descriptor, or destroyed itself.
-    const auto after = mEntries.find(descriptor);
-    if (!hasReturned && after != mEntries.end() &&
-        after->second.mGeneration == generation) {
-      Remove(descriptor);
-      Guard([&] { handler.OnFault(); });
+    if (Entry* entry = Find(event.data.u64)) {
+      if (entry->mPending == 0) {
+        mTurns.Add(event.data.u64, entry->mWasLong);
+      }
+      entry->mPending = event.events;
     }
   }
-  RunPosted();
+}
+
+void
+IoLoop::ServeRound()
+{
+  mTurns.BeginRound();
+  const Instant begin = SteadyNow();
+  Instant now = begin;
+  while (const auto key = mTurns.TakeNext(now - begin)) {
+    Serve(*key);
+    const Instant end = SteadyNow();
+    RecordTurn(*key, end - now);
+    now = end;
+  }
+}
+
+void
+IoLoop::RecordTurn(TurnQueue::Key aKey, Duration aTook)
+{
+  if (Entry* entry = Find(aKey)) {
+    entry->mWasLong = aTook >= kLongTurn;
+  }
+}
+
+// The events were polled before the turns of others, which may have removed the
+// descriptor or changed its interest.
+void
+IoLoop::Serve(TurnQueue::Key aKey)
+{
+  Entry* entry = Find(aKey);
+  if (entry == nullptr) {
+    return;
+  }
+  const std::uint32_t wanted = EventsOf(entry->mInterest) | EPOLLERR | EPOLLHUP;
+  const std::uint32_t events = std::exchange(entry->mPending, 0U) & wanted;
+  if (events == 0) {
+    return;
+  }
+  IoHandler& handler = *entry->mHandler;
+  const bool hasReturned = Guard([&] {
+    handler.OnIo((events & EPOLLIN) != 0,
+                 (events & EPOLLOUT) != 0,
+                 (events & (EPOLLERR | EPOLLHUP)) != 0);
+  });
+  // The handler may have closed its descriptor, or destroyed itself.
+  if (!hasReturned && Find(aKey) != nullptr) {
+    Remove(static_cast<int>(aKey & 0xffffffffU));
+    Guard([&] { handler.OnFault(); });
+  }
 }
 
 void
--- a/tests/unit-io-loop.cpp
+++ b/tests/unit-io-loop.cpp
@@ -1,8 +1,10 @@
 #include "heatherfork/detail/relay/io_loop.h"
 
+#include <algorithm>
 #include <array>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -38,6 +40,30 @@
   bool mThrows;
 };
 
+/// Records its calls; each takes as long as asked for.
+class TimedHandler final : public IoHandler
+{
+public:
+  TimedHandler(char aName, Duration aTakes, std::string& aCalls)
+    : mName(aName)
+    , mTakes(aTakes)
+    , mCalls(aCalls)
+  {
+  }
+  void OnIo(bool, bool, bool) override
+  {
+    mCalls += mName;
+    for (const Instant end = SteadyNow() + mTakes; SteadyNow() < end;) {
+    }
+  }
+  void OnFault() override {}
+
+private:
+  char mName;
+  Duration mTakes;
+  std::string& mCalls;
+};
+
 class Pair
 {
 public:
@@ -88,3 +114,77 @@
   STRCMP_EQUAL("a message that no one expected;a bad function;",
                reasons.c_str());
 }
+
+// Guards against a loop that serves all that is ready before it returns: some
+// connections with much to read took the time of its timer and of the others.
+TEST(IoLoop, LongHandlersLeaveTimeForTheOthersAndTheTimer)
+{
+  constexpr int kLongHandlers = 6;
+  constexpr int kRounds = 2 * kLongHandlers;
+  IoLoop loop;
+  std::string calls;
+  std::array<Pair, kLongHandlers> longEnds;
+  std::vector<TimedHandler> handlers;
+  handlers.reserve(kLongHandlers);
+  for (int n = 0; n < kLongHandlers; ++n) {
+    handlers.emplace_back(static_cast<char>('a' + n), 2 * kRoundTime, calls);
+    loop.Set(longEnds[static_cast<std::size_t>(n)].ReadableEnd(),
+             IoInterest{ true, false },
+             handlers.back());
+  }
+  for (int n = 0; n < kLongHandlers; ++n) {
+    loop.Wait(Milliseconds(10)); // Each is found to be long.
+  }
+  const Pair shortEnd;
+  TimedHandler shortHandler('.', Duration{}, calls);
+  loop.Set(shortEnd.ReadableEnd(), IoInterest{ true, false }, shortHandler);
+  for (int n = 0; n < kRounds; ++n) {
+    const std::size_t before = calls.size();
+    loop.Wait(Milliseconds(10));
+    CHECK(calls.size() - before <= 2); // Then the timer has its turn.
+    CHECK_EQUAL('.', calls[before]);
+  }
+  for (int n = 0; n < kLongHandlers; ++n) {
+    const auto name = static_cast<char>('a' + n);
+    CHECK(std::count(calls.begin(), calls.end(), name) >= 3);
+  }
+}
+
+TEST(IoLoop, InterestThatWasTakenBackIsNotServed)
+{
+  class Closing final : public IoHandler
+  {
+  public:
+    Closing(IoLoop& aLoop, int aOther, IoHandler& aHandler)
+      : mLoop(aLoop)
+      , mOther(aOther)
+      , mHandler(aHandler)
+    {
+    }
+    void OnIo(bool, bool, bool) override
+    {
+      mLoop.Set(mOther, IoInterest{}, mHandler);
+    }
+    void OnFault() override {}
+
+  private:
+    IoLoop& mLoop;
+    int mOther;
+    IoHandler& mHandler;
+  };
+  IoLoop loop;
+  const Pair first;
+  const Pair second;
+  const int firstEnd = first.ReadableEnd();
+  const int secondEnd = second.ReadableEnd();
+  CountingHandler paused(false);
+  Closing closing(loop, secondEnd, paused);
+  loop.Set(firstEnd, IoInterest{ true, false }, closing);
+  loop.Set(secondEnd, IoInterest{ true, false }, paused);
+  loop.Wait(Milliseconds(10));
+  CHECK_EQUAL(0, paused.mCalls);
+  loop.Set(secondEnd, IoInterest{ true, false }, paused);
+  loop.Remove(firstEnd);
+  loop.Wait(Milliseconds(10));
+  CHECK_EQUAL(1, paused.mCalls);
+}
