--- a/packages/node/src/settings/relay_settings.cpp
+++ b/packages/node/src/settings/relay_settings.cpp
@@ -85,6 +85,9 @@
   reader.Read("max_answer_bytes",
               aResult.mSettings.mMaxAnswerBytes,
               Range{ 1024, std::int64_t{ 1 } << 30 });
+  reader.Read("stream_bytes_per_second",
+              aResult.mSettings.mStreamBytesPerSecond,
+              Range{ 65536, std::int64_t{ 1 } << 30 });
   reader.Finish();
 }
 
--- a/packages/relay/include/heatherfork/detail/relay/event_stream.h
+++ b/packages/relay/include/heatherfork/detail/relay/event_stream.h
@@ -11,11 +11,20 @@
 /// The bytes of one event, including the final empty line.
 struct StreamEvent
 {
-  std::string mBytes;
+  std::string_view mBytes; ///< Valid until more is added.
   std::string mId;         ///< Empty if the event has none.
   bool mHasFields = false; ///< Not only comments and empty lines.
 };
 
+/// Complete events that are forwarded together.
+struct EventBatch
+{
+  std::string mBytes;    ///< Up to the end of the last event with fields.
+  std::string mComments; ///< After it.
+  std::string mLastId;   ///< Empty if no event has one.
+  int mEvents = 0;       ///< With fields.
+};
+
 class EventStream
 {
 public:
@@ -29,6 +38,9 @@
   /// once.
   std::optional<StreamEvent> TakeNext();
 
+  /// Removes and returns all complete events.
+  EventBatch TakeAll();
+
   /// Whether an incomplete event is buffered.
   bool HasPartialEvent() const { return mBegin < mBuffer.size(); }
 
--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -10,6 +10,7 @@
 #include "heatherfork/detail/relay/connect_times.h"
 #include "heatherfork/detail/relay/event_stream.h"
 #include "heatherfork/detail/relay/server_connection.h"
+#include "heatherfork/detail/relay/stream_pace.h"
 #include "heatherfork/relay_effect.h"
 #include "heatherfork/relay_wire.h"
 
@@ -26,6 +27,8 @@
   AnswerBudget mAnswerBudget{ 0 };
   bool mIsLeaving = false; ///< Close after the answer.
   ConnectTimes mConnectTimes;
+  std::size_t mStreamBytesPerSecond = 0; ///< Read of one stream.
+  std::function<void(const RelayLogEntry&)> mLog;
 };
 
 /// Runs the calls that the reducer orders for one request and sends the
@@ -79,6 +82,7 @@
   bool IsStreamCut() const;
   /// Returns false if the replica sends no events but other bytes.
   bool ForwardEvents();
+  void PauseIfTooFast(std::size_t aBytes, int aEvents);
   void SendHead(std::optional<std::size_t> aLength);
   bool ShouldKeepOpen() const;
 
@@ -99,6 +103,8 @@
   std::string mComments;          ///< Of a stream, since its last event.
   EventStream mEvents;
   int mEventsInCall = 0;
+  StreamPace mPace;
+  bool mHasLoggedPause = false;
   Instant mStartedAt{};
   Instant mLastReceivedAt{}; ///< Of body bytes, or of an event of a stream.
   Instant mSilenceReportedAt{};
--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -61,6 +61,12 @@
   /// any more.
   void Abandon();
 
+  /// Reads no more of the response until ResumeReading. A reset or a close by
+  /// both sides resumes it too.
+  void PauseReading();
+  void ResumeReading();
+  bool IsReadingPaused() const { return mIsReadingPaused; }
+
   /// Whether the connection can run another exchange.
   bool CanBeReused() const;
 
@@ -108,6 +114,7 @@
   std::vector<std::size_t> mSentIds; ///< Hashes of the requests' ids.
   bool mIsHeadRequest = false;
   bool mHasPeerClosed = false;
+  bool mIsReadingPaused = false;
   bool mIsReset = false; ///< Found by a write; a read finds only an end.
   Duration mIdleTimeout;
   ExchangeListener* mListener = nullptr;
--- a/packages/relay/include/heatherfork/relay_node.h
+++ b/packages/relay/include/heatherfork/relay_node.h
@@ -28,6 +28,8 @@
   std::size_t mMemoryBytes = std::size_t{ 256 } << 20;  ///< Of the machine.
   std::size_t mMaxAnswerBytes = std::size_t{ 4 } << 20; ///< Of one answer that
                                                         ///< is no stream.
+  /// Read of one stream for long; one second's worth may come at once.
+  std::size_t mStreamBytesPerSecond = std::size_t{ 512 } << 10;
 
   auto operator<=>(const RelayNodeSettings&) const = default;
 };
--- a/packages/relay/src/event_stream.cpp
+++ b/packages/relay/src/event_stream.cpp
@@ -90,12 +90,33 @@
     return std::nullopt;
   }
   StreamEvent event;
-  event.mBytes = mBuffer.substr(mBegin, end - mBegin);
+  event.mBytes = std::string_view(mBuffer).substr(mBegin, end - mBegin);
   mBegin = end;
   ReadFields(event);
   return event;
 }
 
+EventBatch
+EventStream::TakeAll()
+{
+  const std::size_t begin = mBegin;
+  std::size_t forwarded = mBegin;
+  EventBatch batch;
+  while (auto event = TakeNext()) {
+    if (!event->mHasFields) {
+      continue;
+    }
+    forwarded = mBegin;
+    ++batch.mEvents;
+    if (!event->mId.empty()) {
+      batch.mLastId = std::move(event->mId);
+    }
+  }
+  batch.mBytes = mBuffer.substr(begin, forwarded - begin);
+  batch.mComments = mBuffer.substr(forwarded, mBegin - forwarded);
+  return batch;
+}
+
 void
 EventStream::Clear()
 {
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -38,6 +38,7 @@
   , mRequestBody(std::move(aBody))
   , mRequestId(std::move(aRequestId))
   , mReplyBody(mContext.mAnswerBudget)
+  , mPace(mContext.mStreamBytesPerSecond)
 {
 }
 
@@ -63,6 +64,8 @@
   mComments.clear();
   mEvents.Clear();
   mEventsInCall = 0;
+  mPace = StreamPace(mContext.mStreamBytesPerSecond);
+  mHasLoggedPause = false;
   mStartedAt = aNow;
   mLastReceivedAt = aNow;
   mIsSilent = false;
@@ -152,9 +155,32 @@
     }
     return;
   }
+  const int eventsBefore = mEventsInCall;
   mEvents.Add(aBytes);
   if (!ForwardEvents()) {
     EndCall(RelayResult::kBroken, "stream without events");
+    return;
+  }
+  PauseIfTooFast(aBytes.size(), mEventsInCall - eventsBefore);
+}
+
+// The replica waits for the connection meanwhile: TCP holds what it sends.
+void
+Exchange::PauseIfTooFast(std::size_t aBytes, int aEvents)
+{
+  const Instant now = SteadyNow();
+  mPace.Spend(aBytes, aEvents, now);
+  if (mPace.MayRead(now)) {
+    return;
+  }
+  mServerConnection->PauseReading();
+  if (!mHasLoggedPause) {
+    mHasLoggedPause = true;
+    mContext.mLog({ "stream-paced",
+                    mRequestId,
+                    "address=" + mCall->mAddress.mValue +
+                      " events=" + std::to_string(mEventsInCall) +
+                      " bytes=" + std::to_string(mReceivedBytes) });
   }
 }
 
@@ -165,19 +191,17 @@
 Exchange::ForwardEvents()
 {
   const bool isFirst = mEventsInCall == 0;
+  EventBatch batch = mEvents.TakeAll();
   std::string out;
-  while (auto event = mEvents.TakeNext()) {
-    if (!event->mHasFields) {
-      mComments += event->mBytes;
-      continue;
-    }
-    out += EncodeChunk(mComments + event->mBytes);
+  if (batch.mEvents > 0) {
+    out = EncodeChunk(mComments + batch.mBytes);
     mComments.clear();
     RecordProgress();
-    ++mEventsInCall;
-    if (!event->mId.empty()) {
-      mLastEvent = event->mId;
-    }
+    mEventsInCall += batch.mEvents;
+  }
+  mComments += batch.mComments;
+  if (!batch.mLastId.empty()) {
+    mLastEvent = std::move(batch.mLastId);
   }
   // Events before the other bytes count as sent, so they are sent.
   const bool hasOnlyEvents =
@@ -317,6 +341,9 @@
     EndCall(RelayResult::kNotSent, "no connection in time");
     return;
   }
+  if (mServerConnection->IsReadingPaused() && mPace.MayRead(aNow)) {
+    mServerConnection->ResumeReading();
+  }
   ReportSilence(aNow);
 }
 
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -97,6 +97,8 @@
     mLog.Add(
       LogLevel::kWarning, "handler-failed", "", "reason=\"" + aReason + "\"");
   });
+  mExchangeContext.mStreamBytesPerSecond = mSettings.mStreamBytesPerSecond;
+  mExchangeContext.mLog = [this](const RelayLogEntry& aEntry) { On(aEntry); };
   absl::Status status = mCallerPort.Start(mSettings.mCallerListen);
   for (const Address& address : mSettings.mInfoListen) {
     mInfoPorts.push_back(std::make_unique<CallerPort>(mLoop, *this));
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "heatherfork/detail/relay/sockets.h"
+#include "heatherfork/detail/relay/turn_budget.h"
 
 namespace heatherfork::relay {
 
@@ -27,10 +28,6 @@
 // Request ids that a connection remembers.
 constexpr std::size_t kMaxSentIds = 64;
 
-// Reads of one connection per event of the loop, so that a replica that sends
-// without end does not hold up the others.
-constexpr int kMaxReadsPerEvent = 16;
-
 // Interim responses and responses to other requests before the awaited one, and
 // the bytes of their bodies.
 constexpr int kMaxSkippedResponses = 16;
@@ -94,6 +91,7 @@
   mIsSkippingResponse = false;
   mSkippedResponses = 0;
   mSkippedBytes = 0;
+  mIsReadingPaused = false;
   mReader.Reset(aIsHeadRequest);
   if (mDescriptor < 0) {
     mDescriptor = BeginConnect(mAddress);
@@ -153,6 +151,7 @@
 ServerConnection::WatchIdle(std::function<void(ServerConnection&)> aOnEnd)
 {
   mListener = nullptr;
+  mIsReadingPaused = false;
   mOnIdleEnd = std::move(aOnEnd);
   UpdateInterest();
 }
@@ -162,10 +161,25 @@
 {
   if (mDescriptor >= 0) {
     const bool wantsWrite = !mIsEstablished || mWrittenBytes < mOutput.size();
-    mLoop.Set(mDescriptor, IoInterest{ mIsEstablished, wantsWrite }, *this);
+    const bool wantsRead = mIsEstablished && !mIsReadingPaused;
+    mLoop.Set(mDescriptor, IoInterest{ wantsRead, wantsWrite }, *this);
   }
 }
 
+void
+ServerConnection::PauseReading()
+{
+  mIsReadingPaused = true;
+  UpdateInterest();
+}
+
+void
+ServerConnection::ResumeReading()
+{
+  mIsReadingPaused = false;
+  UpdateInterest();
+}
+
 void
 ServerConnection::Fail(const std::string& aReason)
 {
@@ -207,6 +221,10 @@
       mListener->OnConnected();
     }
   }
+  if (aFailed) {
+    // Reported at each wait of the loop until the rest is read.
+    mIsReadingPaused = false;
+  }
   if (aReadable || aFailed) {
     ReadAll();
   }
@@ -235,10 +253,12 @@
 ServerConnection::ReadAll()
 {
   const std::shared_ptr<bool> alive = mIsAlive;
-  for (int reads = 0; *alive && mDescriptor >= 0 && mListener != nullptr &&
-                      reads < kMaxReadsPerEvent;
-       ++reads) {
+  TurnBudget budget(SteadyNow());
+  while (*alive && mDescriptor >= 0 && mListener != nullptr &&
+         !mIsReadingPaused && !budget.IsSpent(SteadyNow())) {
+    const std::size_t before = mInput.size();
     const IoResult result = ReadSome(mDescriptor, mInput);
+    budget.Spend(mInput.size() - before);
     if (result == IoResult::kWouldBlock) {
       if (!mHasPeerClosed && mWrittenBytes < mOutput.size() && mMayHaveSent &&
           !IsConnected(mDescriptor)) {
--- a/tests/unit-event-stream.cpp
+++ b/tests/unit-event-stream.cpp
@@ -30,6 +30,33 @@
   { "nothing", "", {}, false },
 };
 
+struct BatchRow
+{
+  std::string mName;
+  std::string mBytes;
+  std::string mForwarded;
+  std::string mComments;
+  std::string mLastId;
+  int mEvents;
+};
+
+const BatchRow kBatchRows[] = {
+  { "two events", "id: 1\n\ng\n\n", "id: 1\n\ng\n\n", "", "1", 2 },
+  { "the last id", "id: 1\n\nid: 2\n\n", "id: 1\n\nid: 2\n\n", "", "2", 2 },
+  { "a part of a third", "g\n\ng\n\ng\n", "g\n\ng\n\n", "", "", 2 },
+  { "a comment before", ": a\n\ng\n\n", ": a\n\ng\n\n", "", "", 1 },
+  { "a comment after", "g\n\n: a\n\n: b", "g\n\n", ": a\n\n", "", 1 },
+  { "a comment between",
+    "id: 1\n\n: a\n\ng\n\n",
+    "id: 1\n\n: a\n\ng\n\n",
+    "",
+    "1",
+    2 },
+  { "comments alone", ": a\n\n\n\n", "", ": a\n\n\n\n", "", 0 },
+  { "no end of an event", "id: 1\n", "", "", "", 0 },
+  { "nothing", "", "", "", "", 0 },
+};
+
 std::vector<std::string>
 TakeIds(EventStream& aStream)
 {
@@ -104,6 +131,21 @@
   }
 }
 
+TEST(EventStream, TakesAllEventsTogether)
+{
+  for (const BatchRow& row : kBatchRows) {
+    EventStream stream;
+    stream.Add(row.mBytes);
+    const EventBatch batch = stream.TakeAll();
+    const char* name = row.mName.c_str();
+    STRCMP_EQUAL_TEXT(row.mForwarded.c_str(), batch.mBytes.c_str(), name);
+    STRCMP_EQUAL_TEXT(row.mComments.c_str(), batch.mComments.c_str(), name);
+    STRCMP_EQUAL_TEXT(row.mLastId.c_str(), batch.mLastId.c_str(), name);
+    CHECK_EQUAL_TEXT(row.mEvents, batch.mEvents, name);
+    CHECK_EQUAL_TEXT(0, stream.TakeAll().mEvents, name);
+  }
+}
+
 // A replica in trouble sends bytes without end and no event in them.
 TEST(EventStream, LooksAtEachByteOnce)
 {
--- a/tests/unit-server-connection.cpp
+++ b/tests/unit-server-connection.cpp
@@ -184,3 +184,45 @@
     connection.Abandon();
   }
 }
+
+TEST(ServerConnection, PausedReadingGoesOnAfterItsEnd)
+{
+  struct Row
+  {
+    const char* mName;
+    bool mResumes;
+    bool mIsReset;
+    bool mIsRead;
+  };
+  const Row kRows[] = {
+    { "paused", false, false, false },
+    { "resumed", true, false, true },
+    { "reset by the other side", false, true, true },
+  };
+  for (const Row& row : kRows) {
+    IoLoop loop;
+    Server server;
+    ServerConnection connection(loop, server.mAddress);
+    Recorder recorder;
+    connection.Begin(kRequest, false, recorder);
+    server.Accept();
+    loop.Wait(Milliseconds(1000));
+    server.ReadRequest();
+    connection.PauseReading();
+    server.Send("HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nbody");
+    if (row.mIsReset) {
+      server.Close(true);
+    }
+    for (int n = 0; n < 3; ++n) {
+      loop.Wait(Milliseconds(10));
+    }
+    CHECK_FALSE_TEXT(recorder.mIsDone && !row.mIsReset, row.mName);
+    if (row.mResumes) {
+      connection.ResumeReading();
+      RunUntilEnd(loop, recorder);
+    }
+    CHECK_EQUAL_TEXT(
+      row.mIsRead, recorder.mIsDone || recorder.mHasFailed, row.mName);
+    connection.Abandon();
+  }
+}
