heatherforkctl check-routes: a routing value is checked before it is put

Cause: operators asked for errors, entries that never match, contradicting limits and what differs from the version in force, before they send a configuration. Change: check-routes FILE [IN_FORCE]; platform/ names fields that are missing, of another type or unknown, the product's own checks do the rest. Exit codes are those of the other commands. The check of names takes "requests" as an ordinary word, as fleet_fields.h has had it before and the unit of a quota is called so.

--- a/packages/ctl/include/heatherfork/ctl/command.h
+++ b/packages/ctl/include/heatherfork/ctl/command.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "heatherfork/relay_wire.h"
 #include "heatherfork/time.h"
 
 /// The subcommands of heatherforkctl.
@@ -28,6 +29,7 @@
   std::string mAdminKeyFile;            ///< Empty: no key is sent.
   Duration mTimeout{};                  ///< For each request to a node.
   std::vector<std::string> mLogFiles{}; ///< Log files of nodes.
+  const RelayWire* mWire = nullptr;     ///< Formats of the store's values.
 };
 
 /// A subcommand.
--- a/packages/ctl/include/heatherfork/ctl/detail/commands.h
+++ b/packages/ctl/include/heatherfork/ctl/detail/commands.h
@@ -10,6 +10,8 @@
 CommandPtr
 MakeDiffCommand();
 CommandPtr
+MakeCheckRoutesCommand();
+CommandPtr
 MakeReplayCommand();
 CommandPtr
 MakeErrorsCommand();
--- a/packages/ctl/src/command.cpp
+++ b/packages/ctl/src/command.cpp
@@ -31,6 +31,7 @@
   std::vector<CommandPtr> commands;
   commands.push_back(detail::MakeCheckCommand());
   commands.push_back(detail::MakeDiffCommand());
+  commands.push_back(detail::MakeCheckRoutesCommand());
   commands.push_back(detail::MakeSettingsCommand());
   commands.push_back(detail::MakeStatusCommand());
   commands.push_back(detail::MakeExplainCommand());
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -5,6 +5,7 @@
 
 #include "heatherfork/ctl/command.h"
 #include "heatherfork/version.h"
+#include "platform/wire.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -64,12 +65,14 @@
     return static_cast<int>(ExitCode::kOk);
   }
   const auto positionalArguments = ParsePositionalArguments(aCount, aArguments);
+  const heatherfork::platform::Wire wire;
   const Console console{
     std::cout,
     std::cerr,
     absl::GetFlag(FLAGS_admin_key_file),
     heatherfork::Milliseconds(absl::GetFlag(FLAGS_timeout_ms)),
     absl::GetFlag(FLAGS_log),
+    &wire,
   };
   return static_cast<int>(
     heatherfork::ctl::RunCommand(positionalArguments, console));
--- a/packages/relay/include/heatherfork/relay_wire.h
+++ b/packages/relay/include/heatherfork/relay_wire.h
@@ -140,6 +140,11 @@
   /// Returns null and sets aReason if the value is invalid.
   virtual RoutingPtr ReadRouting(std::string_view aValue,
                                  std::string& aReason) const = 0;
+
+  /// Describes each field of a routing value that is missing, of another type
+  /// or unknown. ReadRouting skips the parts that need it.
+  virtual std::vector<std::string> CheckRoutingFields(
+    std::string_view aValue) const = 0;
   virtual std::optional<Replica> ReadReplica(const std::string& aKey,
                                              std::string_view aValue,
                                              std::string& aReason) const = 0;
--- a/scripts/check_platform_words.py
+++ b/scripts/check_platform_words.py
@@ -16,7 +16,7 @@
     "Connection", "Service", "Version", "Name", "Key", "Kind", "Zone", "State",
     "Error", "Message", "application/json", "ready", "items", "events", "Value",
     "Address", "Priority", "Weight", "Revision", "Deleted", "stream", "Last-Event-Id",
-    "idempotent", "Phase", "Limits", "close", "Authorization", "tokens",
+    "idempotent", "Phase", "Limits", "close", "Authorization", "tokens", "requests",
     # The own interface's traces name a workspace so, see docs/GLOSSARY.md.
     "Tenant",
 }
