One plan decides who gives way when there is too little room

Cause: up to the last request that could not be overtaken all were urgent, so in overload each was started just before its latest start and nearly all were late. Change: answer_plan compares plans by rank, callers answered in time, then answers in target; it gives up what needs the most room, and long work gets one part in twenty of the room. A refusal's reason has the inputs of the decision.

--- a/packages/core/include/heatherfork/detail/scheduling/capacity_forecast.h
+++ b/packages/core/include/heatherfork/detail/scheduling/capacity_forecast.h
@@ -21,6 +21,16 @@
     mPrefill += aOther.mPrefill;
     return *this;
   }
+
+  Demand& operator-=(const Demand& aOther)
+  {
+    mRequests -= aOther.mRequests;
+    mPieces -= aOther.mPieces;
+    mPrefill -= aOther.mPrefill;
+    return *this;
+  }
+
+  auto operator<=>(const Demand&) const = default;
 };
 
 /// When a server that names a limit takes requests.
@@ -63,6 +73,10 @@
   /// if nothing is known that makes it wait.
   Duration WaitFor(const Demand& aAhead, const Demand& aOwn) const;
 
+  /// The time for which aDemand takes all capacity of the kind that it needs
+  /// most of.
+  Duration RoomOf(const Demand& aDemand) const;
+
   /// Capacity that others may take within aInterval, beside one request more.
   Demand ReleasedWithin(Duration aInterval) const;
 
--- a/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
+++ b/packages/core/include/heatherfork/detail/scheduling/shard_scheduler.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "heatherfork/detail/context.h"
+#include "heatherfork/detail/scheduling/answer_plan.h"
 #include "heatherfork/detail/scheduling/dispatch_pass.h"
 #include "heatherfork/detail/scheduling/duration_estimate.h"
 #include "heatherfork/detail/scheduling/isolation.h"
@@ -96,13 +97,20 @@
                              DispatchPass& aPass,
                              const AttemptId& aAttempt);
 
-  /// Refuses requests that can't be answered in time, and finds those that must
-  /// start next.
+  /// Plans who goes first, and refuses those that are given up.
   void Review(Context& aContext);
+  /// The requests that wait for capacity, in the order of latest starts.
+  std::vector<AttemptId> Waiting(Context& aContext);
+  /// The part of the placements that each rank leaves to lower ones.
+  std::map<int, double> RoomLeftByRank() const;
+  std::vector<WaitingRequest> Describe(
+    const std::vector<AttemptId>& aAttempts) const;
+  void Apply(Context& aContext,
+             const std::vector<AttemptId>& aAttempts,
+             const AnswerPlan& aPlan);
   void RefuseHopeless(Context& aContext,
                       const AttemptId& aAttempt,
-                      Duration aWait,
-                      bool aIsLimited);
+                      const PlannedRequest& aPlanned);
   DispatchPass MakePass(Context& aContext);
   CapacityForecast Forecast(Context& aContext, const DispatchPass& aPass);
   std::vector<Release> Releases(Instant aNow) const;
@@ -152,9 +160,12 @@
   double mLimitShare = 1;  ///< At mShareMembers.
   std::uint64_t mShareMembers = 0;
   DurationEstimate mHoldTime{ kHoldTimeDivisor }; ///< Of finished placements.
-  DurationEstimate mWorkError; ///< Observed less predicted work.
-  Duration mReviewedWait{};    ///< Of a request behind all others.
-  Instant mOldestArrival{};    ///< Of the requests at the last review.
+  DurationEstimate mWorkError;    ///< Observed less predicted work.
+  CapacityForecast mForecast;     ///< Of the last review.
+  Duration mPassedRoom{};         ///< Given to others since the last turn.
+  std::optional<AttemptId> mTurn; ///< Long work whose turn it is.
+  Duration mReviewedWait{};       ///< Of a request behind all others.
+  Instant mOldestArrival{};       ///< Of the requests at the last review.
   Instant mLastExpiryAt{};
 };
 
--- a/packages/core/src/scheduling/capacity_forecast.cpp
+++ b/packages/core/src/scheduling/capacity_forecast.cpp
@@ -45,6 +45,19 @@
   return WaitForLimits(aAhead) > WaitForServers(aAhead, aOwn);
 }
 
+Duration
+CapacityForecast::RoomOf(const Demand& aDemand) const
+{
+  const auto part = [this](int aNeeded, int aFree, int aHeld) {
+    return mHoldTime * aNeeded / std::max(1, aFree + aHeld);
+  };
+  const int heldPieces = mReleases.empty() ? 0 : mReleases.back().mPieces;
+  return std::max(
+    { aDemand.mPrefill / std::max(1, mPrefillServers),
+      part(aDemand.mRequests, mFreeSlots, static_cast<int>(mReleases.size())),
+      part(aDemand.mPieces, mFreePieces, heldPieces) });
+}
+
 Demand
 CapacityForecast::ReleasedWithin(Duration aInterval) const
 {
--- a/packages/core/src/scheduling/shard_dispatch.cpp
+++ b/packages/core/src/scheduling/shard_dispatch.cpp
@@ -137,86 +137,143 @@
   return forecast;
 }
 
-// The walk is in the order of latest starts: each request is judged with those
-// ahead of it that can be answered. Up to the last one that is urgent, none may
-// be overtaken.
+// A suspect waits for another one and for no capacity.
+std::vector<AttemptId>
+ShardScheduler::Waiting(Context& aContext)
+{
+  const Instant now = aContext.mNow;
+  std::vector<AttemptId> waiting;
+  for (const AttemptId& attempt : mQueue.ByTime()) {
+    const QueuedRequest& request = mQueue.At(attempt);
+    if (!mSuspectRuns.MustWait(request.mPlace, now)) {
+      waiting.push_back(attempt);
+    } else if (!CanBeAnswered(request.mRemaining, now, Duration{})) {
+      RefuseHopeless(aContext, attempt, PlannedRequest{});
+    } else {
+      mOldestArrival = std::min(mOldestArrival, request.mArrivedAt);
+    }
+  }
+  return waiting;
+}
+
+std::map<int, double>
+ShardScheduler::RoomLeftByRank() const
+{
+  std::map<int, double> held;
+  for (const auto& [attempt, placement] : mPlacements) {
+    const auto it = mPriorities.find(placement.Request().mClass);
+    ++held[it == mPriorities.end() ? 0 : -it->second];
+  }
+  double left = 1;
+  for (auto& [rank, count] : held) {
+    left -= count / (static_cast<double>(mPlacements.size()) + 1);
+    count = left;
+  }
+  return held;
+}
+
+std::vector<WaitingRequest>
+ShardScheduler::Describe(const std::vector<AttemptId>& aAttempts) const
+{
+  std::map<std::pair<int, WorkspaceName>, std::size_t> lines;
+  const std::map<int, double> rooms = RoomLeftByRank();
+  const auto roomLeft = [&](int aRank) {
+    const auto it = rooms.lower_bound(aRank);
+    return it == rooms.begin() ? 1.0 : std::prev(it)->second;
+  };
+  std::vector<WaitingRequest> described;
+  described.reserve(aAttempts.size());
+  for (const AttemptId& attempt : aAttempts) {
+    const QueuedRequest& request = mQueue.At(attempt);
+    const PublishedOrder& published = request.mPublished;
+    const auto line =
+      lines.try_emplace({ published.mRank, published.mWorkspace }, lines.size())
+        .first;
+    described.push_back({ published.mRank,
+                          line->second,
+                          request.mRemaining,
+                          published.mWantedAt,
+                          published.mMayWait,
+                          DemandOf(request),
+                          mTurn == attempt,
+                          roomLeft(published.mRank) });
+  }
+  return described;
+}
+
 void
 ShardScheduler::Review(Context& aContext)
 {
-  const Instant now = aContext.mNow;
   mReviewedWait = Duration{};
-  mOldestArrival = now;
+  mOldestArrival = aContext.mNow;
   if (mQueue.Size() == 0) {
     return;
   }
-  const DispatchPass pass = MakePass(aContext);
-  const CapacityForecast forecast = Forecast(aContext, pass);
-  const Duration interval = aContext.mSettings.mPolicy.mTimerInterval;
-  const Demand released = forecast.ReleasedWithin(interval);
-  Demand ahead;
-  std::vector<AttemptId> kept;
-  std::size_t urgent = 0;
-  for (const AttemptId& attempt : mQueue.ByTime()) {
-    const QueuedRequest& request = mQueue.At(attempt);
-    const Demand own = DemandOf(request);
-    // A suspect waits for another one and for no capacity.
-    const bool isBlocked = mSuspectRuns.MustWait(request.mPlace, now);
-    const Duration wait = isBlocked ? Duration{} : forecast.WaitFor(ahead, own);
-    if (!CanBeAnswered(request.mRemaining, now, wait)) {
-      RefuseHopeless(
-        aContext, attempt, wait, forecast.IsBoundByLimits(ahead, own));
+  if (mTurn && !mQueue.Contains(*mTurn)) {
+    mTurn.reset();
+  }
+  mForecast = Forecast(aContext, MakePass(aContext));
+  const std::vector<AttemptId> waiting = Waiting(aContext);
+  const PlanInputs inputs{ mForecast,
+                           aContext.mNow,
+                           aContext.mSettings.mPolicy.mTimerInterval,
+                           mPassedRoom };
+  Apply(aContext, waiting, MakeAnswerPlan(inputs, Describe(waiting)));
+}
+
+void
+ShardScheduler::Apply(Context& aContext,
+                      const std::vector<AttemptId>& aAttempts,
+                      const AnswerPlan& aPlan)
+{
+  if (aPlan.mNewTurn) {
+    mTurn = aAttempts[*aPlan.mNewTurn];
+  }
+  for (std::size_t n = 0; n < aAttempts.size(); ++n) {
+    const PlannedRequest& planned = aPlan.mRequests[n];
+    if (planned.mIsGivenUp) {
+      RefuseHopeless(aContext, aAttempts[n], planned);
       continue;
     }
-    kept.push_back(attempt);
+    const QueuedRequest& request = mQueue.At(aAttempts[n]);
     mOldestArrival = std::min(mOldestArrival, request.mArrivedAt);
-    if (isBlocked) {
-      continue;
-    }
-    ahead += own;
-    mReviewedWait = std::max(mReviewedWait, wait);
-    // One more like it, and all that is released until the next review.
-    Demand overtaking = ahead;
-    overtaking += released;
-    const Duration overtakenWait = forecast.WaitFor(overtaking, own) + interval;
-    if (!CanBeAnswered(request.mRemaining, now, overtakenWait)) {
-      urgent = kept.size();
-    }
-  }
-  for (std::size_t n = 0; n < kept.size(); ++n) {
-    const QueuedRequest& request = mQueue.At(kept[n]);
-    if (n < urgent) {
-      mQueue.SetStage(kept[n], Stage::kUrgent);
-    } else if (request.mStage == Stage::kUrgent) {
-      mQueue.SetStage(kept[n],
-                      StageOf(request.mRemaining, request.mPublished, now));
-    }
+    mReviewedWait = std::max(mReviewedWait, planned.mWait);
+    mQueue.SetStage(aAttempts[n], planned.mStage);
   }
 }
 
 void
 ShardScheduler::RefuseHopeless(Context& aContext,
                                const AttemptId& aAttempt,
-                               Duration aWait,
-                               bool aIsLimited)
+                               const PlannedRequest& aPlanned)
 {
-  const NodeId from = mQueue.At(aAttempt).mFrom;
+  const QueuedRequest& request = mQueue.At(aAttempt);
+  const auto left = [&](Instant aUntil) {
+    return std::to_string(ToMilliseconds(aUntil - aContext.mNow)) + " ms";
+  };
+  const std::string inputs =
+    "; rank " + std::to_string(request.mPublished.mRank) + ", time left " +
+    left(request.mRemaining.mDeadline) + ", until the target " +
+    left(request.mPublished.mWantedAt) + ", work " +
+    std::to_string(ToMilliseconds(request.mRemaining.mWork)) + " ms";
+  const std::string wait = std::to_string(ToMilliseconds(aPlanned.mWait));
+  const NodeId from = request.mFrom;
   RemoveQueued(aAttempt);
-  const std::string wait = std::to_string(ToMilliseconds(aWait));
   aContext.Send(
     from,
     PlacementRefused{
       aAttempt,
-      aIsLimited
+      aPlanned.mIsBoundByLimits
         ? Error{ ErrorCode::kServerLimit,
                  "expected a place before the deadline, the limits that the "
                  "servers name allow one in " +
-                   wait + " ms" }
+                   wait + " ms" + inputs }
         : Error{ ErrorCode::kDeadlineTooShort,
                  "expected a place before the deadline, the predicted wait "
                  "is " +
-                   wait + " ms" },
+                   wait + " ms" + inputs },
       mId,
-      aWait });
+      aPlanned.mWait });
 }
 
 double
@@ -306,6 +363,12 @@
                        const Choice& aChoice)
 {
   QueuedRequest request = mQueue.Take(aAttempt);
+  if (mTurn == aAttempt) {
+    mTurn.reset();
+    mPassedRoom = Duration{};
+  } else {
+    mPassedRoom += mForecast.RoomOf(DemandOf(request));
+  }
   Placement placement(request.mFrom,
                       std::move(request.mPlace),
                       aChoice.mPrefill,
