Bodies that wait for more room are charged for what they hold

HeadError needs no copy of the routing. Result: unit-node-memory has the case (four wait, the fifth is refused); it could not pass before, as nothing refused a fifth.

--- a/packages/core/include/heatherfork/detail/relay/route_table.h
+++ b/packages/core/include/heatherfork/detail/relay/route_table.h
@@ -16,6 +16,9 @@
 public:
   void Update(const RoutingPtr& aRouting);
 
+  /// Whether a revision was set.
+  bool IsKnown() const { return mRouting != nullptr; }
+
   /// The host's route with the longest matching path prefix; null when there is
   /// none. Logarithmic in the routes for each slash of the path.
   const Route* Find(const std::string& aHost, std::string_view aPath) const;
--- a/packages/core/src/relay/relay_admission.cpp
+++ b/packages/core/src/relay/relay_admission.cpp
@@ -22,6 +22,9 @@
                          Instant aNow,
                          const RelayRequest& aRequest) const
 {
+  if (!mRoutes.IsKnown()) {
+    return std::nullopt;
+  }
   const Route* route = mRoutes.Find(aRequest.mHost, aRequest.mPath);
   if (route == nullptr) {
     return NoRouteError(aRequest);
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -1,9 +1,7 @@
 #include "heatherfork/relay_reducer.h"
 
-#include <algorithm>
 #include <deque>
 #include <random>
-#include <set>
 
 #include "heatherfork/detail/membership/membership.h"
 #include "heatherfork/detail/relay/member_log.h"
@@ -232,8 +230,8 @@
     aContext.Emit(RelayLogEntry{
       "refused", aEvent.mRequest.mId, "reason=\"" + error.mMessage + "\"" });
     aContext.Emit(RelayOutcomeMeasured{ {}, RelayOutcome::kRefused, {} });
-    const Duration retryAfter = detail::kMinRetryAfter;
-    aContext.Emit(RefuseCaller{ aEvent.mCaller, error, retryAfter });
+    aContext.Emit(
+      RefuseCaller{ aEvent.mCaller, error, detail::kMinRetryAfter });
     return;
   }
   mRequests.On(aContext, aEvent);
@@ -478,10 +476,7 @@
 std::optional<Error>
 RelayReducer::HeadError(const RelayRequest& aRequest, Instant aNow) const
 {
-  return mState->mRouting == nullptr
-           ? std::nullopt
-           : mState->mRequests.HeadError(
-               mState->mRelaySettings, aNow, aRequest);
+  return mState->mRequests.HeadError(mState->mRelaySettings, aNow, aRequest);
 }
 
 const Members&
--- a/packages/relay/include/heatherfork/detail/relay/body_intake.h
+++ b/packages/relay/include/heatherfork/detail/relay/body_intake.h
@@ -65,6 +65,7 @@
     bool mIsComplete = false;
     std::size_t mSmall = 0; ///< Taken of the part for small bodies.
     std::size_t mLarge = 0;
+    std::size_t mParked = 0; ///< Held while it waits.
     std::size_t mWanted = 0;
     std::size_t mReceived = 0;
     Duration mPatience{};
@@ -73,6 +74,7 @@
   };
 
   bool TryGrant(Body& aBody);
+  bool TryPark(Body& aBody);
   void GiveBack(Body& aBody);
   void SetState(Body& aBody, State aState);
   bool IsTooSlow(const Body& aBody, Instant aNow) const;
@@ -81,6 +83,7 @@
   std::map<BodyId, Body> mBodies;
   std::size_t mSmallBytes = 0;
   std::size_t mLargeBytes = 0;
+  std::size_t mParkedBytes = 0; ///< Of those that wait.
   std::size_t mWaiting = 0;
   BodyId mLastId = 0;
 };
--- a/packages/relay/src/body_intake.cpp
+++ b/packages/relay/src/body_intake.cpp
@@ -40,13 +40,29 @@
   return false;
 }
 
+// A body in chunks that outgrows its room holds what has arrived while it waits
+// for more.
+bool
+BodyIntake::TryPark(Body& aBody)
+{
+  if (aBody.mReceived > mShares.mSmallBodies ||
+      mParkedBytes > mShares.mSmallBodies - aBody.mReceived) {
+    return false;
+  }
+  aBody.mParked = aBody.mReceived;
+  mParkedBytes += aBody.mParked;
+  return true;
+}
+
 void
 BodyIntake::GiveBack(Body& aBody)
 {
   mSmallBytes -= aBody.mSmall;
   mLargeBytes -= aBody.mLarge;
+  mParkedBytes -= aBody.mParked;
   aBody.mSmall = 0;
   aBody.mLarge = 0;
+  aBody.mParked = 0;
 }
 
 void
@@ -72,7 +88,10 @@
   body.mWanted = aBytes;
   body.mPatience = aPatience;
   body.mSince = aNow;
-  SetState(body, TryGrant(body) ? State::kReading : State::kWaiting);
+  SetState(body,
+           TryGrant(body)  ? State::kReading
+           : TryPark(body) ? State::kWaiting
+                           : State::kRefused);
   return body.mState;
 }
 
@@ -166,6 +185,8 @@
     });
   for (Body* body : waiting) {
     if (TryGrant(*body)) {
+      mParkedBytes -= body->mParked;
+      body->mParked = 0;
       body->mSince = aNow;
       SetState(*body, State::kReading);
     } else if (aNow - body->mSince > 2 * body->mPatience) {
--- a/packages/relay/src/caller_body.cpp
+++ b/packages/relay/src/caller_body.cpp
@@ -48,7 +48,8 @@
   mRoomBytes = aBytes;
   const auto state =
     mIntake.Ask(mBodyId, aBytes, mLimits.mHeaderTimeout, SteadyNow());
-  mIsWaitingForRoom = state == BodyIntake::State::kWaiting;
+  // What is refused isn't read either; CheckRoom answers it.
+  mIsWaitingForRoom = state != BodyIntake::State::kReading;
   if (!mIsWaitingForRoom && !mReader.IsDone()) {
     mBody.reserve(aBytes);
   }
--- a/tests/unit-node-memory.cpp
+++ b/tests/unit-node-memory.cpp
@@ -226,3 +226,30 @@
                 crowd.mIntake.Waiting());
   }
 }
+
+// Bodies in chunks that wait for more room still hold what has arrived.
+TEST(NodeMemory, GrownBodiesWaitOnlyAsFarAsTheirBytesFit)
+{
+  Crowd crowd;
+  crowd.Ask(kMebibyte);
+  crowd.Ask(kMebibyte);
+  // The part for small bodies is as large as four of these.
+  const State expected[] = {
+    State::kWaiting, State::kWaiting, State::kWaiting,
+    State::kWaiting, State::kRefused, State::kRefused
+  };
+  BodyId first = 0;
+  for (const State state : expected) {
+    const BodyId id = crowd.mIntake.Begin();
+    first = first == 0 ? id : first;
+    crowd.mIntake.Ask(id, 100, kPatience, kStart);
+    crowd.mIntake.Receive(id, kMaxSmallBodyBytes, kStart);
+    CHECK(state == crowd.mIntake.Ask(id, kMebibyte, kPatience, kStart));
+  }
+  crowd.mIntake.End(first);
+  const BodyId next = crowd.mIntake.Begin();
+  crowd.mIntake.Ask(next, 100, kPatience, kStart);
+  crowd.mIntake.Receive(next, kMaxSmallBodyBytes, kStart);
+  CHECK(State::kWaiting ==
+        crowd.mIntake.Ask(next, kMebibyte, kPatience, kStart));
+}
