Stand-in of a replica: a name that its subclasses don't have

Cause: relay-leaving_replicas and relay-crashing_requests failed with TypeError in the joined tree: the stand-in's new list arrivals is also a list of four tests' subclasses, which got each arrival twice, once as a pair. Change: the list of times and request ids is called identified; the four tests are untouched.

--- a/tests/relay/fake_replica.py
+++ b/tests/relay/fake_replica.py
@@ -55,7 +55,7 @@
         self.phase = phase
         self.faults = []
         self.received = []  # (header fields, body) of each request.
-        self.arrivals = []  # (time, request id) of each request.
+        self.identified = []  # (time, request id) of each request.
         self.raw = []  # All bytes that came.
         self.closed_early = threading.Event()
         self.listener = socket.create_server(("127.0.0.1", 0))
@@ -108,7 +108,7 @@
                     self.raw.append(more)
                     data += more
                 body, data = data[:length], data[length:]
-                self.arrivals.append((time.monotonic(), fields.get("Request-Id")))
+                self.identified.append((time.monotonic(), fields.get("Request-Id")))
                 self.received.append((fields, body))
                 if not self.answer(connection, fields, body):
                     return
--- a/tests/relay/test_workspaces.py
+++ b/tests/relay/test_workspaces.py
@@ -85,7 +85,7 @@
         return max(
             at
             for replica in self.replicas()
-            for at, identifier in replica.arrivals
+            for at, identifier in replica.identified
             if (identifier or "").startswith("keyed")
         )
 
