Urgent routes go first among workspaces of one priority

Change: ranks are ordered by the workspace's priority, then by the route's; the work classes hold each pair that can occur. Without workspaces nothing changes.

--- a/packages/core/include/heatherfork/detail/relay/pools.h
+++ b/packages/core/include/heatherfork/detail/relay/pools.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "heatherfork/configuration.h"
 #include "heatherfork/routing.h"
 
@@ -11,8 +13,13 @@
 ConfigurationPtr
 MakePoolConfiguration(const Routing& aRouting, const Replicas& aReplicas);
 
-/// Name of the work class for a route's rank.
+/// Name of the work class of a rank.
 ClassName
 ClassOfRank(int aRank);
 
+/// Rank of requests where workspaces have keys; lower ones go first. The rank
+/// of the workspace, or the route's without one, precedes the route's own.
+int
+RankWithWorkspace(int aRouteRank, std::optional<int> aWorkspaceRank);
+
 } // namespace heatherfork::detail
--- a/packages/core/src/relay/pools.cpp
+++ b/packages/core/src/relay/pools.cpp
@@ -70,6 +70,29 @@
   return workspaces;
 }
 
+std::set<int>
+RanksOf(const Routing& aRouting)
+{
+  std::set<int> routes;
+  for (const Route& route : aRouting.mRoutes) {
+    routes.insert(route.mRank);
+  }
+  if (!aRouting.mNeedsKeys) {
+    return routes;
+  }
+  std::set<std::optional<int>> workspaces{ std::nullopt };
+  for (const RoutedWorkspace& workspace : aRouting.mWorkspaces) {
+    workspaces.insert(workspace.mRank);
+  }
+  std::set<int> ranks;
+  for (const int route : routes) {
+    for (const std::optional<int>& workspace : workspaces) {
+      ranks.insert(RankWithWorkspace(route, workspace));
+    }
+  }
+  return ranks;
+}
+
 } // namespace
 
 ClassName
@@ -78,6 +101,15 @@
   return ClassName{ "rank-" + std::to_string(aRank) };
 }
 
+int
+RankWithWorkspace(int aRouteRank, std::optional<int> aWorkspaceRank)
+{
+  constexpr int kMaxRank = 999;
+  const int route = std::clamp(aRouteRank, 0, kMaxRank);
+  const int first = std::clamp(aWorkspaceRank.value_or(route), 0, kMaxRank);
+  return first * (kMaxRank + 1) + route;
+}
+
 ConfigurationPtr
 MakePoolConfiguration(const Routing& aRouting, const Replicas& aReplicas)
 {
@@ -99,15 +131,7 @@
     }
     configuration->mPools.push_back(std::move(pool));
   }
-  std::set<int> ranks;
-  for (const Route& route : aRouting.mRoutes) {
-    ranks.insert(route.mRank);
-  }
-  for (const RoutedWorkspace& routed : aRouting.mWorkspaces) {
-    if (routed.mRank) {
-      ranks.insert(*routed.mRank);
-    }
-  }
+  const std::set<int> ranks = RanksOf(aRouting);
   configuration->mWorkspaces = MakeWorkspaces(aRouting.mWorkspaces);
   for (const int rank : ranks) {
     WorkClass workClass;
--- a/packages/core/src/relay/relay_admission.cpp
+++ b/packages/core/src/relay/relay_admission.cpp
@@ -1,4 +1,5 @@
 #include "heatherfork/detail/relay/head_check.h"
+#include "heatherfork/detail/relay/pools.h"
 #include "heatherfork/detail/relay/relay_log.h"
 #include "heatherfork/detail/relay/relay_requests.h"
 
@@ -77,10 +78,12 @@
            isTemporary ? kMinRetryAfter : Duration{});
     return false;
   }
-  if (!aRequest.mWorkspace.Empty()) {
+  if (aRequest.mHasWorkspaces) {
     const RoutedWorkspace* workspace =
       mWorkspaces.Find(aRequest.mRequest.mKeyDigest);
-    aRequest.mRank = workspace->mRank.value_or(aRequest.mRank);
+    aRequest.mRank =
+      RankWithWorkspace(aRequest.mRoute.mRank,
+                        workspace == nullptr ? std::nullopt : workspace->mRank);
   }
   return true;
 }
