Tests of quotas: two findings of the linter

Cause: clang-tidy over the changed sources: a product of ints that is widened, and a constant that can't be moved out. Change: the product is made in the wider type, the name isn't constant.

--- a/tests/unit-quota-credit.cpp
+++ b/tests/unit-quota-credit.cpp
@@ -200,7 +200,7 @@
   for (const Row& row : kRows) {
     QuotaCreditAccount account;
     for (int n = 0; n < row.mRequests; ++n) {
-      account.Take(At(10 * n), n, row.mUnits, At(9000));
+      account.Take(At(std::int64_t{ 10 } * n), n, row.mUnits, At(9000));
     }
     const auto need = account.NextNeed(At(200), kOwner, Plan(), row.mInterval);
     CHECK_EQUAL(row.mUnits * row.mRequests, need->mWanted);
--- a/tests/unit-relay-quota.cpp
+++ b/tests/unit-relay-quota.cpp
@@ -29,7 +29,7 @@
 WorkspaceOfOther()
 {
   for (int n = 0;; ++n) {
-    const std::string name = "w" + std::to_string(n);
+    std::string name = "w" + std::to_string(n);
     if (detail::RendezvousWeight(name, "other") >
         detail::RendezvousWeight(name, "n")) {
       return name;
