--- a/review/common2/rig.py
+++ b/review/common2/rig.py
@@ -40,6 +40,7 @@
     "Bounds.ConfigApplyMs": 2000,
     "Bounds.DrainMs": 2000,
     "Bounds.GraceS": 8,
+    "StabilityMs": 3000,
 }
 LIMITS = {
     "MaxHeaderBytes": 16384,
@@ -502,13 +503,13 @@
     return int(lines[0].split()[1]), fields, data, True
 
 
-def call(port, raw, timeout):
-    """One client attempt on a new connection: (outcome, fields, seconds). The outcome is the
+def call(port, raw, timeout, client="127.0.0.1"):
+    """One attempt of the client at that loopback address, on a new connection: (outcome, fields, seconds). The outcome is the
     status, "closed", "timeout", "cut" or "unreachable"."""
     begin = time.monotonic()
     fields = {}
     try:
-        with socket.create_connection(("127.0.0.1", port), 1.0) as connection:
+        with socket.create_connection(("127.0.0.1", port), 1.0, (client, 0)) as connection:
             connection.settimeout(timeout)
             connection.sendall(raw)
             status, fields, _, whole = read_answer(connection)
