--- a/review/common2/rig.py
+++ b/review/common2/rig.py
@@ -521,3 +521,93 @@
     except OSError:
         outcome = "closed"
     return outcome, fields, time.monotonic() - begin
+
+
+class KeptCallers:
+    """Ordinary clients, each with one connection that it keeps and books on, one at a time."""
+
+    def __init__(self, rig, node, replicas, count, path, deadline_ms=3000):
+        self.record = rig.record
+        self.node = node
+        self.replicas = replicas
+        self.path = path
+        self.deadline_ms = deadline_ms
+        self.done = False
+        self.lost = []  # Not the first on its connection, run, and ended without an answer.
+        self.answered = 0
+        self.threads = [
+            threading.Thread(target=self.book, args=(number,), daemon=True)
+            for number in range(count)
+        ]
+        for thread in self.threads:
+            thread.start()
+            time.sleep(0.037)  # So that they don't all wait at the same moment.
+
+    def book(self, client):
+        number = 0
+        while not self.done:
+            try:
+                with socket.create_connection(("127.0.0.1", self.node.front), 1) as connection:
+                    connection.settimeout(self.deadline_ms / 1000 + 0.5)
+                    nth = 0
+                    while not self.done:
+                        number += 1
+                        nth += 1
+                        if not self.book_once(connection, "book%d-%d" % (client, number), nth):
+                            break
+            except OSError:
+                time.sleep(0.2)
+
+    def book_once(self, connection, request_id, nth):
+        raw = head("POST", self.path, request_id, 600, self.deadline_ms) + b"b" * 600
+        try:
+            connection.sendall(raw)
+            status, fields, _, whole = read_answer(connection)
+            outcome = status if whole else "closed"
+        except TimeoutError:
+            outcome = "no answer by the deadline"
+        except OSError:
+            outcome = "closed"
+        runs = sum(replica.runs.get(request_id, 0) for replica in self.replicas)
+        self.record.add(
+            "ordinary %s, number %d on its connection: %s, begun by %d replicas"
+            % (request_id, nth, outcome, runs)
+        )
+        if outcome == "closed" and nth > 1 and runs > 0:
+            self.lost.append(request_id)
+        self.answered += outcome == 200
+        return outcome == 200 and fields.get("Connection", "") != "close"
+
+    def join(self):
+        self.done = True
+        for thread in self.threads:
+            thread.join(5)
+
+
+class Platform:
+    """Ends a process whose memory exceeds its machine's, as DEPLOY.md says; the first time
+    ends the case. Memory that is mapped from files doesn't count."""
+
+    def __init__(self, rig, node):
+        self.node = node
+        self.record = rig.record
+        self.limit = SHEET["Limits.MemoryMb"]
+        self.peak = 0.0
+        self.killed = threading.Event()
+        self.done = False
+        threading.Thread(target=self.watch, daemon=True).start()
+
+    def watch(self):
+        while not self.done:
+            memory = self.node.memory_mb()
+            if memory is not None:
+                self.peak = max(self.peak, memory)
+                if memory > self.limit:
+                    self.record.say(
+                        "platform: %s has %.0f MB of %d MB, killed"
+                        % (self.node.name, memory, self.limit)
+                    )
+                    self.node.process.kill()
+                    self.killed.set()
+                    return
+            time.sleep(0.02)
