--- a/review/common2/rig.py
+++ b/review/common2/rig.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -54,6 +55,15 @@
     pass
 
 
+def set_descriptors():
+    """The machine's number, for the nodes and for the other ends in this process."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = SHEET["Limits.FileDescriptors"]
+    if hard != resource.RLIM_INFINITY and hard < wanted:
+        raise CannotRun("fewer descriptors than a machine has")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+
+
 def free_ports(count):
     """Ports below those of outgoing connections, free now."""
     low = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
@@ -207,6 +217,7 @@
         text = json.dumps(body).encode()
         try:
             handler.send_response(status)
+            handler.send_header("Store-Era", "1")
             handler.send_header("Content-Type", "application/json")
             handler.send_header("Content-Length", str(len(text)))
             handler.end_headers()
@@ -230,26 +241,61 @@
         self.runs = {}  # Request id: how often it began to run.
         self.lock = threading.Lock()
         self.born = int(time.time() * 1000)
+        self.state = "ready"
+        self.beats = 0
         self.open = set()
         self.ended = False
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=1000)
         self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
 
-    def entry(self, state="ready"):
+    def publish(self, store):
+        """Writes its entry, again each heartbeat (1.2 s) until it has left."""
+        acknowledged = store.put("servers/" + self.name, self.entry())
+
+        def beat():
+            while True:
+                time.sleep(1.2)
+                with self.lock:
+                    if self.ended:
+                        return
+                    store.put("servers/" + self.name, self.entry())
+
+        threading.Thread(target=beat, daemon=True).start()
+        return acknowledged
+
+    def drain(self, store):
+        """Returns when the store acknowledged that it is draining."""
+        with self.lock:
+            self.state = "draining"
+            return store.put("servers/" + self.name, self.entry())
+
+    def leave(self, store):
+        with self.lock:
+            self.ended = True
+            store.delete("servers/" + self.name)
+        self.end()
+
+    def more_fields(self):
+        """What a replica that leaves adds to all its answers."""
+        return "" if self.state == "ready" else "Server-Leaving: 1\r\nConnection: close\r\n"
+
+    def entry(self):
+        self.beats += 1
         entry = {
             "Service": self.service,
             "Address": self.address,
             "Zone": "a",
             "Version": "v1",
             "Slots": self.slots,
-            "State": state,
+            "State": self.state,
             "ColdRemainingMs": 0,
-            "Sequence": 1,
+            "Sequence": self.beats,
             "born": self.born,
         }
         if self.phase:
             entry["Phase"] = self.phase
+            entry["Models"] = [{"Name": "m", "Version": 1, "Adapters": []}]
         return entry
 
     def accept(self):
@@ -307,19 +353,26 @@
     def answer(self, connection, fields, body):
         method, path, _ = fields["line"].split(" ")
         if path == "/health":
+            status = 200 if self.state == "ready" else 503
             connection.sendall(
-                b"HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n"
-                % self.name.encode()
+                (
+                    "HTTP/1.1 %d X\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n"
+                    % (status, self.name, self.more_fields())
+                ).encode()
             )
             return True
         if path.startswith("/heatherfork/"):
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            connection.sendall(
+                ("HTTP/1.1 200 X\r\n%sContent-Length: 0\r\n\r\n" % self.more_fields()).encode()
+            )
             return True
         request_id = fields.get("Request-Id", "")
         if fields.get("Target-Instance", self.name) != self.name:
             connection.sendall(
-                b"HTTP/1.1 421 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n"
-                b"Content-Length: 0\r\n\r\n" % request_id.encode()
+                (
+                    "HTTP/1.1 421 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\n%s"
+                    "Content-Length: 0\r\n\r\n" % (request_id, self.more_fields())
+                ).encode()
             )
             return True
         if fields.get("Stage") != "prefill":
@@ -334,7 +387,7 @@
         text = "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n" % (status, request_id)
         if signed:
             text += "Response-Signature: sig.%s\r\n" % request_id
-        text += "%sContent-Length: %d\r\n\r\n" % (more, len(body))
+        text += "%s%sContent-Length: %d\r\n\r\n" % (more, self.more_fields(), len(body))
         connection.sendall(text.encode() + body)
         return True
 
@@ -402,6 +455,7 @@
     """The store, the replicas and the nodes of one case; ends all it started."""
 
     def __init__(self, case_file):
+        set_descriptors()
         self.case = Path(case_file).resolve().parent
         self.record = Record(self.case)
         self.folder = tempfile.mkdtemp(prefix="review-")
