A response whose status is none of HTTP's is broken

Seen by callers: a replica in trouble answers with the status 600, 700 or 999, and the caller gets it as an answer; one without a length, with 700 and the claim that it has not run, is repeated on the strength of that claim. With 000, 001, 099 or 101 the caller waits until its timeout (504) though the broken answer is there.

Cause: the library's parser takes any three digits for a status, and below 200 the connection takes the response for an interim one and waits for the next. No one checked that the number is a status.

Change: HttpReader rejects a response whose status is not 100 to 599, and 101, since no request asks to switch protocols. The call ends as broken, as one with an invalid head does: 502, which promises nothing, and a repeat within the budget where the request may be repeated. All that reads with HttpReader gets it: calls of each stage, calls that free a KV cache, the store.

--- a/packages/relay/include/heatherfork/detail/relay/http_message.h
+++ b/packages/relay/include/heatherfork/detail/relay/http_message.h
@@ -66,7 +66,8 @@
 /// Parses consecutive messages of one direction of a connection. Rejects what
 /// two implementations may parse differently, which would allow request
 /// smuggling: bare CR or LF, folded fields, blanks before a colon, several
-/// lengths, and any transfer coding other than "chunked".
+/// lengths, and any transfer coding other than "chunked". Rejects a response
+/// whose status is none of HTTP's, or switches protocols.
 class HttpReader
 {
 public:
--- a/packages/relay/src/http_message.cpp
+++ b/packages/relay/src/http_message.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 
+#include "heatherfork/detail/relay/http_grammar.h"
+
 namespace heatherfork::relay {
 
 namespace {
@@ -378,6 +380,10 @@
     mFault = HttpFault::kBadHead;
     return;
   }
+  if (mKind == Kind::kResponse && !IsResponseStatus(mHead.mStatus)) {
+    mFault = HttpFault::kBadHead;
+    return;
+  }
   aBuffer.erase(0, size);
   mParser->FillHead(mHead);
   // A response is limited as it arrives: its listener may skip it.
--- a/tests/unit-relay-messages.cpp
+++ b/tests/unit-relay-messages.cpp
@@ -94,6 +94,25 @@
     HttpFault::kBodyTooLarge },
 };
 
+/// What is wrong with the bytes of a response, whether they come at once or one
+/// by one.
+HttpFault
+FaultOf(const std::string& aBytes)
+{
+  HttpReader whole(HttpReader::Kind::kResponse, kMaxHeadBytes, kMaxBodyBytes);
+  HttpReader pieces(HttpReader::Kind::kResponse, kMaxHeadBytes, kMaxBodyBytes);
+  std::string buffer = aBytes;
+  std::string body;
+  whole.Read(buffer, body);
+  buffer.clear();
+  for (const char byte : aBytes) {
+    buffer += byte;
+    pieces.Read(buffer, body);
+  }
+  CHECK_TEXT(whole.Fault() == pieces.Fault(), aBytes.c_str());
+  return whole.Fault();
+}
+
 } // namespace
 
 TEST_GROUP(RelayMessages){};
@@ -162,6 +181,18 @@
   }
 }
 
+TEST(RelayMessages, AcceptsOnlyStatusesOfHttp)
+{
+  for (int status = 0; status < 1000; ++status) {
+    const std::string digits = std::to_string(1000 + status).substr(1);
+    // Nothing after a switch of protocols is HTTP.
+    const bool isValid = status >= 100 && status <= 599 && status != 101;
+    const std::string line = "HTTP/1.1 " + digits + " X\r\n";
+    const HttpFault fault = FaultOf(line + "Content-Length: 0\r\n\r\n");
+    CHECK_EQUAL_TEXT(isValid, fault == HttpFault::kNone, line.c_str());
+  }
+}
+
 TEST(RelayMessages, RecognizesHopByHopFields)
 {
   HttpHead head;
