Tests: a field name that is no token makes a response none

Cause: the users saw such a line passed on, or with another body, at other systems. Change: tests alone, as this case held already: HttpReader has checked each line of a head since it was written.

--- a/tests/unit-relay-messages.cpp
+++ b/tests/unit-relay-messages.cpp
@@ -193,6 +193,37 @@
   }
 }
 
+TEST(RelayMessages, AcceptsOnlyTokensAsNamesOfFields)
+{
+  const std::string kTokens = "0123456789abcdefghijklmnopqrstuvwxyz"
+                              "ABCDEFGHIJKLMNOPQRSTUVWXYZ!#$%&'*+-.^_`|~";
+  const std::string kStart = "HTTP/1.1 200 X\r\n";
+  const std::string kLength = "Content-Length: 0\r\n";
+  for (int n = 0; n < 256; ++n) {
+    const char byte = static_cast<char>(n);
+    struct Row
+    {
+      std::string mLine;
+      bool mIsValid;
+    };
+    const bool isToken = kTokens.find(byte) != std::string::npos;
+    const bool isColon = byte == ':'; // Ends the name early.
+    const Row kRows[] = {
+      { std::string(1, byte) + "X: v\r\n", isToken },
+      { std::string("X") + byte + "Y: v\r\n", isToken || isColon },
+      { std::string("X") + byte + ": v\r\n", isToken || isColon },
+    };
+    for (const Row& row : kRows) {
+      for (const std::string& head :
+           { kStart + row.mLine + kLength, kStart + kLength + row.mLine }) {
+        CHECK_EQUAL_TEXT(row.mIsValid,
+                         FaultOf(head + "\r\n") == HttpFault::kNone,
+                         row.mLine.c_str());
+      }
+    }
+  }
+}
+
 TEST(RelayMessages, RecognizesHopByHopFields)
 {
   HttpHead head;
