A broken response is known as soon as its bytes show it

Seen by callers: 504 after 4 s, their route's timeout, though the replica had sent bytes that no further byte turns into a response, and then nothing more: no HTTP, a status of 000, a name with a blank, text where a chunk's size belongs, a broken trailer.

Cause: a head was checked when its empty line had come, and the lines around chunks when the library had them whole. Until then a broken response looked like a slow one.

Change: FramingCheck reads the head of a response, and what is left between chunks, byte by byte as they come, each byte once. It takes over the check of the status. Requests are checked as before.

--- a/packages/relay/include/heatherfork/detail/relay/http_grammar.h
+++ b/packages/relay/include/heatherfork/detail/relay/http_grammar.h
@@ -1,8 +1,28 @@
 #pragma once
 
+#include <cctype>
+#include <string_view>
+
 /// Parts of the grammar of HTTP/1.1 messages.
 namespace heatherfork::relay {
 
+/// Whether a byte may occur in the name of a field.
+inline bool
+IsTokenChar(char aChar)
+{
+  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
+  return std::isalnum(static_cast<unsigned char>(aChar)) != 0 ||
+         kPunctuation.find(aChar) != std::string_view::npos;
+}
+
+/// Whether a byte may not occur in the value of a field.
+inline bool
+IsControl(char aChar)
+{
+  return (static_cast<unsigned char>(aChar) < 0x20 && aChar != '\t') ||
+         aChar == 0x7f;
+}
+
 /// Whether a response with this status answers a request, or precedes the one
 /// that does. No request asks to switch protocols, and nothing that follows
 /// such a response is HTTP.
--- a/packages/relay/include/heatherfork/detail/relay/http_message.h
+++ b/packages/relay/include/heatherfork/detail/relay/http_message.h
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "heatherfork/detail/relay/framing_check.h"
+
 /// Strict parser for HTTP/1.1 messages.
 namespace heatherfork::relay {
 
@@ -67,7 +69,8 @@
 /// two implementations may parse differently, which would allow request
 /// smuggling: bare CR or LF, folded fields, blanks before a colon, several
 /// lengths, and any transfer coding other than "chunked". Rejects a response
-/// whose status is none of HTTP's, or switches protocols.
+/// whose status is none of HTTP's, or switches protocols. Rejects a broken
+/// response as soon as its bytes show it.
 class HttpReader
 {
 public:
@@ -105,6 +108,7 @@
   template<bool kIsRequest>
   class ParserOf;
 
+  bool HasBrokenFraming(std::string_view aBuffer);
   void ReadHead(std::string& aBuffer);
   void ReadBody(std::string& aBuffer, std::string& aBody);
 
@@ -113,6 +117,8 @@
   std::size_t mMaxBodyBytes;
   std::size_t mBodyBytes = 0;
   std::size_t mScannedBytes = 0; ///< Scanned without finding the head's end.
+  FramingCheck mFraming = FramingCheck::OfHead();
+  std::size_t mCheckedBytes = 0; ///< Of the buffer, by mFraming.
   std::unique_ptr<Parser> mParser;
   HttpHead mHead;
   HttpFault mFault = HttpFault::kNone;
--- a/packages/relay/src/http_message.cpp
+++ b/packages/relay/src/http_message.cpp
@@ -20,14 +20,6 @@
   return static_cast<char>(std::tolower(static_cast<unsigned char>(aChar)));
 }
 
-bool
-IsTokenChar(char aChar)
-{
-  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
-  return std::isalnum(static_cast<unsigned char>(aChar)) != 0 ||
-         kPunctuation.find(aChar) != std::string_view::npos;
-}
-
 std::string_view
 Trimmed(std::string_view aText)
 {
@@ -41,13 +33,6 @@
   return aText;
 }
 
-bool
-IsControl(char aChar)
-{
-  return (static_cast<unsigned char>(aChar) < 0x20 && aChar != '\t') ||
-         aChar == 0x7f;
-}
-
 // Checks a field line: a name of token characters, a colon, no control
 // characters. This also rejects a folded line, which starts with a blank.
 bool
@@ -317,6 +302,8 @@
   mHasBegun = false;
   mBodyBytes = 0;
   mScannedBytes = 0;
+  mFraming = FramingCheck::OfHead();
+  mCheckedBytes = 0;
 }
 
 bool
@@ -341,9 +328,26 @@
   }
 }
 
+// A request is checked when its head is complete: its sender is told why it is
+// refused, and has a time limit for the head.
+bool
+HttpReader::HasBrokenFraming(std::string_view aBuffer)
+{
+  if (mKind == Kind::kRequest) {
+    return false;
+  }
+  const std::string_view added = aBuffer.substr(mCheckedBytes);
+  mCheckedBytes = aBuffer.size();
+  return !mFraming.Add(added);
+}
+
 void
 HttpReader::ReadHead(std::string& aBuffer)
 {
+  if (HasBrokenFraming(aBuffer)) {
+    mFault = HttpFault::kBadHead;
+    return;
+  }
   const std::size_t from = mScannedBytes < 3 ? 0 : mScannedBytes - 3;
   const std::size_t end = aBuffer.find(kHeadEnd, from);
   if (end == std::string::npos) {
@@ -380,10 +384,6 @@
     mFault = HttpFault::kBadHead;
     return;
   }
-  if (mKind == Kind::kResponse && !IsResponseStatus(mHead.mStatus)) {
-    mFault = HttpFault::kBadHead;
-    return;
-  }
   aBuffer.erase(0, size);
   mParser->FillHead(mHead);
   // A response is limited as it arrives: its listener may skip it.
@@ -392,6 +392,8 @@
     return;
   }
   mHasHead = true;
+  mFraming = FramingCheck::OfFirstChunk();
+  mCheckedBytes = 0;
 }
 
 void
@@ -424,9 +426,15 @@
     }
   }
   aBuffer.erase(0, used);
-  // At most an incomplete chunk-size line stays in the buffer.
-  if (mFault == HttpFault::kNone && !IsDone() &&
-      aBuffer.size() > mMaxHeadBytes) {
+  if (mFault != HttpFault::kNone || IsDone()) {
+    return;
+  }
+  // At most an incomplete chunk-size line, or trailers, stay in the buffer.
+  if (used > 0) {
+    mFraming = FramingCheck::OfNextChunk();
+    mCheckedBytes = 0;
+  }
+  if (HasBrokenFraming(aBuffer) || aBuffer.size() > mMaxHeadBytes) {
     mFault = HttpFault::kBadBody;
   }
 }
--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -2,7 +2,7 @@
 import time
 import unittest
 
-from fake_replica import SIGNED, encode_event
+from fake_replica import CHUNKED, SIGNED, encode_event
 from relay_nodes import Node, Platform, wait_until
 
 TOKENS = "Token-Usage: 10,50\r\n"
@@ -33,6 +33,21 @@
     )
 
 
+# What no further byte turns into an answer.
+INCOMPLETE = [
+    b"no answer",
+    b"HTTP/1.1 000",
+    b"HTTP/1.1 600",
+    b"HTTP/1.1 200 X\r\nX Y",
+    b"HTTP/1.1 200 X\r\nX\x01",
+    b"HTTP/1.1 200 X\r\nX\r\n",
+    b"HTTP/1.1 200 X\r\n" + SIGNED + BODY + b"X Y: v\r\n",
+    b"HTTP/1.1 200 X\r\n" + SIGNED + CHUNKED + b"no chunk",
+    b"HTTP/1.1 200 X\r\n" + SIGNED + CHUNKED + b"4\r\nbodyno end",
+    b"HTTP/1.1 200 X\r\n" + SIGNED + CHUNKED + b"4\r\nbody\r\n0\r\nX Y: v\r\n",
+]
+
+
 class sends:
     """Answers with these bytes and leaves the connection open."""
 
@@ -138,6 +153,11 @@
                 self.check_plain(with_first_line(line))
                 self.check_plain(with_last_line(line))
 
+    def test_broken_answer_is_known_before_its_end(self):
+        for answer in INCOMPLETE:
+            with self.subTest(answer=answer):
+                self.check_plain(sends(answer))
+
     def test_broken_repeat_is_the_last_one(self):
         for answer in (with_status("000"), with_first_line(b"X Y: v\r\n")):
             response, calls, seconds = self.send(
--- a/tests/unit-relay-messages.cpp
+++ b/tests/unit-relay-messages.cpp
@@ -190,6 +190,8 @@
     const std::string line = "HTTP/1.1 " + digits + " X\r\n";
     const HttpFault fault = FaultOf(line + "Content-Length: 0\r\n\r\n");
     CHECK_EQUAL_TEXT(isValid, fault == HttpFault::kNone, line.c_str());
+    CHECK_EQUAL_TEXT(
+      isValid, FaultOf(line) == HttpFault::kNone, "before the head's end");
   }
 }
 
@@ -219,11 +221,76 @@
         CHECK_EQUAL_TEXT(row.mIsValid,
                          FaultOf(head + "\r\n") == HttpFault::kNone,
                          row.mLine.c_str());
+        CHECK_EQUAL_TEXT(row.mIsValid,
+                         FaultOf(head) == HttpFault::kNone,
+                         "before the head's end");
       }
     }
   }
 }
 
+// The other side may send nothing more, and leave the connection open.
+TEST(RelayMessages, RejectsBrokenResponseAsSoonAsItsBytesShowIt)
+{
+  const std::string kStart = "HTTP/1.1 200 X\r\n";
+  const std::string kChunks = kStart + "Transfer-Encoding: chunked\r\n\r\n";
+  struct Broken
+  {
+    std::string mSound; ///< What may still become a response.
+    char mByte;         ///< What may not follow.
+    HttpFault mFault = HttpFault::kBadHead;
+  };
+  const Broken kRows[] = {
+    { "", 'g' },
+    { "", '\r' },
+    { "HTTP/1.", '2' },
+    { "HTTP/1.1 2", 'x' },
+    { "HTTP/1.1 200", '\r' },
+    { "HTTP/1.1 200 X", '\n' },
+    { kStart, ' ' },
+    { kStart + "X", '\r' },
+    { kStart + "X: v", '\0' },
+    { kStart + "X: v\r", 'Y' },
+    { kStart + "X: v\r\n\r", 'Y' },
+    { kChunks, 'z', HttpFault::kBadBody },
+    { kChunks, ';', HttpFault::kBadBody },
+    { kChunks + "1", '\n', HttpFault::kBadBody },
+    { kChunks + "1;x", '\0', HttpFault::kBadBody },
+    { kChunks + "1\r\na", 'a', HttpFault::kBadBody },
+    { kChunks + "1\r\na\r\n", '\r', HttpFault::kBadBody },
+    { kChunks + "1\r\na\r\n00\r\nX", ' ', HttpFault::kBadBody },
+    { kChunks + "0\r\nX: v\r\n", ' ', HttpFault::kBadBody },
+    { kChunks + "0\r\n\r", '\r', HttpFault::kBadBody },
+  };
+  for (const Broken& row : kRows) {
+    CHECK_TEXT(FaultOf(row.mSound) == HttpFault::kNone, row.mSound.c_str());
+    CHECK_TEXT(FaultOf(row.mSound + row.mByte) == row.mFault,
+               row.mSound.c_str());
+  }
+}
+
+TEST(RelayMessages, AcceptsResponsesInPieces)
+{
+  const std::string kRows[] = {
+    "HTTP/1.0 599 \r\nX:\r\nContent-Length: 4\r\n\r\nbody",
+    "HTTP/1.1 200 X\tY\xff\r\nX: \t\xff\r\nContent-Length: 4\r\n\r\nbody",
+    "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "01\r\nb\r\n2;x=\"y\"\r\nod\r\n1 ;z\r\ny\r\n000\r\nX: v\r\nY:\r\n\r\n",
+  };
+  for (const std::string& row : kRows) {
+    HttpReader reader(
+      HttpReader::Kind::kResponse, kMaxHeadBytes, kMaxBodyBytes);
+    std::string buffer;
+    std::string body;
+    for (const char byte : row) {
+      buffer += byte;
+      reader.Read(buffer, body);
+    }
+    CHECK_TEXT(reader.IsDone(), row.c_str());
+    STRCMP_EQUAL_TEXT("body", body.c_str(), row.c_str());
+  }
+}
+
 TEST(RelayMessages, RecognizesHopByHopFields)
 {
   HttpHead head;
