A reset that a write has found stays one

Seen by callers elsewhere: a replica answers a long upload at once with a 200 without a length, resets the connection while the upload is being written, and the part that came passes for the whole answer.

Cause: the write that finds the reset takes the error from the socket, so that the read after it finds a mere end. ServerConnection remembers what the write found, but a later write finds EPIPE, as after a close, and overwrote that. It takes a part that is read in three turns or more, with a write after the second: over 128 KB, or less when a turn takes longer than its millisecond.

Evidence: unit-server-connection, its row "no length, long, reset": 60,000 bytes, a listener that takes a millisecond for each read, a reset that the first write finds.

Change: a reset that was found stays found for the connection. EPIPE on the first failed write still means a close, which ends an answer without a length: the row "no length, long, closed" has a write that fails so.

--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -279,8 +279,9 @@
   mMayHaveSent = true;
   if (WriteParts() == IoResult::kFailed) {
     // The other side may have answered before it stopped reading. After its
-    // close, a write finds EPIPE.
-    mIsReset = errno != EPIPE;
+    // close, a write finds EPIPE; so does each write but the first after its
+    // reset.
+    mIsReset = mIsReset || errno != EPIPE;
     ReadAll();
     return;
   }
--- a/tests/unit-server-connection.cpp
+++ b/tests/unit-server-connection.cpp
@@ -1,13 +1,17 @@
 #include "heatherfork/detail/relay/connect_times.h"
 #include "heatherfork/detail/relay/server_connection.h"
+#include "heatherfork/detail/relay/turn_queue.h"
 
 #include <array>
 #include <chrono>
+#include <memory>
 #include <string>
 #include <thread>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -25,7 +29,13 @@
 public:
   void OnConnected() override { ++mConnects; }
   bool OnHead(const HttpHead&) override { return true; }
-  void OnBody(std::string_view aBytes) override { mBody += aBytes; }
+  void OnBody(std::string_view aBytes) override
+  {
+    mBody += aBytes;
+    if (mIsSlow) {
+      std::this_thread::sleep_for(std::chrono::microseconds(kLongTurn.count()));
+    }
+  }
   void OnDone() override { mIsDone = true; }
   bool MaySend() override { return mMaySend; }
   void OnFailed(const CallFailure& aFailure) override
@@ -39,6 +49,7 @@
   bool mIsDone = false;
   bool mHasFailed = false;
   bool mMaySend = true;
+  bool mIsSlow = false; ///< Ends a turn with each read.
   bool mMayHaveSent = false;
 };
 
@@ -78,6 +89,16 @@
     CHECK_EQUAL(static_cast<ssize_t>(aBytes.size()),
                 send(mPeer, aBytes.data(), aBytes.size(), MSG_NOSIGNAL));
   }
+  /// Waits until the other side's system has received all that was sent.
+  void WaitUntilReceived() const
+  {
+    int unsent = 1;
+    for (int n = 0; n < 1000 && unsent > 0; ++n) {
+      CHECK_EQUAL(0, ioctl(mPeer, SIOCOUTQ, &unsent));
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK_EQUAL(0, unsent);
+  }
   void Close(bool aIsReset) const
   {
     const linger now{ aIsReset ? 1 : 0, 0 };
@@ -152,24 +173,33 @@
 }
 
 // The write takes the socket's error, so that the read after it finds an end.
+// A long body takes several turns, each of which writes again.
 TEST(ServerConnection, ResetFoundByWriteLeavesUnframedResponseIncomplete)
 {
+  const std::string kShort = "body";
+  const std::string kLong(60000, 'b'); // The other side doesn't read it yet.
+  const auto kUpload = std::make_shared<const std::string>(1000000, 'u');
   struct Row
   {
     const char* mName;
     std::string mHead;
+    const std::string& mBody;
     bool mIsReset;
     bool mIsDone;
   };
   const Row kRows[] = {
-    { "no length, reset", "HTTP/1.1 200 X\r\n\r\n", true, false },
-    { "no length, closed", "HTTP/1.1 200 X\r\n\r\n", false, true },
+    { "no length, reset", "HTTP/1.1 200 X\r\n\r\n", kShort, true, false },
+    { "no length, closed", "HTTP/1.1 200 X\r\n\r\n", kShort, false, true },
+    { "no length, long, reset", "HTTP/1.1 200 X\r\n\r\n", kLong, true, false },
+    { "no length, long, closed", "HTTP/1.1 200 X\r\n\r\n", kLong, false, true },
     { "a length, reset",
       "HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\n",
+      kShort,
       true,
       true },
     { "a longer length, reset",
       "HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\n",
+      kShort,
       true,
       false },
   };
@@ -185,11 +215,13 @@
     server.Send("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
     RunUntilEnd(loop, first);
     CHECK_TEXT(first.mIsDone, row.mName);
-    server.Send(row.mHead + "body");
+    server.Send(row.mHead + row.mBody);
+    server.WaitUntilReceived();
     server.Close(row.mIsReset);
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
     Recorder second;
-    connection.Begin(kRequest, false, second);
+    second.mIsSlow = true;
+    connection.Begin(kRequest, false, second, kUpload);
     RunUntilEnd(loop, second);
     CHECK_EQUAL_TEXT(row.mIsDone, second.mIsDone, row.mName);
     CHECK_EQUAL_TEXT(!row.mIsDone, second.mHasFailed, row.mName);
