Tests: broken answers of the store, and for every listener of a connection

Cause: the store and its watch, and the calls that free a KV cache, read with the same reader as calls to replicas, but no test sent them such answers. A free call is not sent a broken answer by a process. A string in unit-relay-messages is built as the linter wants it.

--- a/tests/unit-relay-messages.cpp
+++ b/tests/unit-relay-messages.cpp
@@ -216,8 +216,11 @@
       { std::string("X") + byte + ": v\r\n", isToken || isColon },
     };
     for (const Row& row : kRows) {
-      for (const std::string& head :
-           { kStart + row.mLine + kLength, kStart + kLength + row.mLine }) {
+      std::string asFirst = kStart;
+      asFirst.append(row.mLine).append(kLength);
+      std::string asLast = kStart;
+      asLast.append(kLength).append(row.mLine);
+      for (const std::string& head : { asFirst, asLast }) {
         CHECK_EQUAL_TEXT(row.mIsValid,
                          FaultOf(head + "\r\n") == HttpFault::kNone,
                          row.mLine.c_str());
--- a/tests/unit-server-connection.cpp
+++ b/tests/unit-server-connection.cpp
@@ -229,6 +229,39 @@
   }
 }
 
+// Holds for every listener: calls of replicas, calls that free a KV cache, the
+// store.
+TEST(ServerConnection, BrokenResponseEndsExchangeAtOnce)
+{
+  const std::string kLength = "Content-Length: 4\r\n";
+  const std::string kRows[] = {
+    "HTTP/1.1 000 X\r\n" + kLength + "\r\nbody",
+    "HTTP/1.1 101 X\r\n" + kLength + "\r\nbody",
+    "HTTP/1.1 600 X\r\n\r\nbody",
+    "HTTP/1.1 200 X\r\nX Y: v\r\n" + kLength + "\r\nbody",
+    "HTTP/1.1 200 X\r\n" + kLength + "X\x01: v\r\n\r\nbody",
+    "HTTP/1.1 200 X\r\nX Y",
+    "no response",
+  };
+  for (const std::string& row : kRows) {
+    IoLoop loop;
+    Server server;
+    ServerConnection connection(loop, server.mAddress);
+    Recorder recorder;
+    connection.Begin(kRequest, false, recorder);
+    server.Accept();
+    loop.Wait(Milliseconds(1000));
+    server.ReadRequest();
+    server.Send(row);
+    RunUntilEnd(loop, recorder);
+    CHECK_TEXT(recorder.mHasFailed, row.c_str());
+    CHECK_TEXT(recorder.mMayHaveSent, row.c_str());
+    STRCMP_EQUAL_TEXT("", recorder.mBody.c_str(), row.c_str());
+    CHECK_FALSE_TEXT(connection.CanBeReused(), row.c_str());
+    server.CheckEnd();
+  }
+}
+
 // The time at which a request may be sent can end during the connect, or while
 // the process is paused.
 TEST(ServerConnection, SendsNothingWhenItIsTooLate)
