The own interface reads responses strictly

Seen by callers of the own interface: an answer in chunks whose connection ended after a chunk, or inside one, came as whole, of a reservation too; so did one with a blank or a control byte in a field's name, or with a line without a colon. A cancel with such an answer counted as acknowledged, and the engine's memory stayed held. A head of the configuration with such an answer was applied, and heatherforkctl printed one. Bytes that are no head were waited for until the call's timeout.

Cause: the HTTP library takes the end of a connection for the end of a body in chunks, any byte but a colon or a line feed for a part of a name, and skips what has no colon. Requests pass StrictStream first; responses did not.

Change: StrictStream reads responses too: strictly, without interim ones, and an end before the response is whole is an error. ServerClient, the client of the platform and heatherforkctl use one session over it, with a timeout for each period without data. A session applied its own to sockets that it had connected itself, so calls to backend servers had none.

An answer without a length still passes where it did.

--- a/packages/ctl/src/admin_client.cpp
+++ b/packages/ctl/src/admin_client.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "heatherfork/detail/http/strict_session.h"
 #include "heatherfork/detail/json/read.h"
 #include "heatherfork/detail/text.h"
 
@@ -10,8 +11,6 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Timespan.h>
 #include <Poco/URI.h>
 
 namespace heatherfork::ctl::detail {
@@ -48,17 +47,23 @@
                Duration aTimeout,
                const std::string& aPath)
 {
-  Poco::Net::HTTPClientSession session{ Poco::Net::SocketAddress(aAddress) };
-  session.setTimeout(Poco::Timespan(aTimeout.count()));
+  using heatherfork::detail::ConnectTo;
+  const auto session = heatherfork::detail::MakeStrictSession(
+    ConnectTo(Address{ aAddress }, aTimeout), aTimeout);
   Poco::Net::HTTPRequest request("GET", aPath, "HTTP/1.1");
+  request.setHost(aAddress);
   if (!aKey.empty()) {
     request.setCredentials("Bearer", aKey);
   }
-  session.sendRequest(request);
+  session->sendRequest(request);
   Poco::Net::HTTPResponse response;
-  std::istream& stream = session.receiveResponse(response);
+  std::string body = ReadBody(session->receiveResponse(response));
+  if (body.size() <= kMaxResponseBytes &&
+      !heatherfork::detail::HasWholeResponse(*session)) {
+    throw Poco::Net::MessageException("incomplete HTTP response");
+  }
   return HttpResponse{ static_cast<int>(response.getStatus()),
-                       ReadBody(stream) };
+                       std::move(body) };
 }
 
 /// Returns a member of an object, or null if there is none.
--- a/packages/node/src/http/caller_connection.cpp
+++ b/packages/node/src/http/caller_connection.cpp
@@ -37,7 +37,8 @@
 
 CallerConnection::CallerConnection(const Poco::Net::StreamSocket& aSocket,
                                    const ConnectionContext& aContext)
-  : TCPServerConnection(Poco::Net::StreamSocket(new StrictStream(aSocket)))
+  : TCPServerConnection(Poco::Net::StreamSocket(
+      new StrictStream(aSocket, StrictStream::Kind::kRequest)))
   , mContext(aContext)
 {
 }
--- a/packages/node/src/http/strict_stream.cpp
+++ b/packages/node/src/http/strict_stream.cpp
@@ -18,7 +18,6 @@
 
 using relay::HttpField;
 using relay::HttpHead;
-using relay::HttpReader;
 
 // Four times the library's limit for one field (8192 bytes).
 constexpr std::size_t kMaxHeadBytes = 32768;
@@ -29,6 +28,11 @@
 
 constexpr std::size_t kReadBufferBytes = 16384;
 
+constexpr int kFirstFinalStatus = 200;
+
+// Interim responses may precede the final one, but not without end.
+constexpr int kMaxInterimResponses = 16;
+
 // Lets the caller receive its answer: allows a few round trips and the bytes
 // that are in flight by then.
 constexpr std::chrono::milliseconds kDrainTimeout{ 500 };
@@ -37,7 +41,11 @@
 std::string
 SerializeHead(const HttpHead& aHead)
 {
-  std::string text = aHead.mMethod + " " + aHead.mTarget + " HTTP/1.1\r\n";
+  std::string text =
+    aHead.mMethod.empty()
+      ? "HTTP/1.1 " + std::to_string(aHead.mStatus) + " " + aHead.mReason
+      : aHead.mMethod + " " + aHead.mTarget + " HTTP/1.1";
+  text += "\r\n";
   for (const HttpField& field : aHead.mFields) {
     relay::AppendField(text, field.mName, field.mValue);
   }
@@ -57,9 +65,10 @@
 
 } // namespace
 
-StrictStream::StrictStream(const Poco::Net::StreamSocket& aSocket)
+StrictStream::StrictStream(const Poco::Net::StreamSocket& aSocket, Kind aKind)
   : StreamSocketImpl(::dup(aSocket.impl()->sockfd()))
-  , mReader(HttpReader::Kind::kRequest, kMaxHeadBytes, kUnlimitedBodyBytes)
+  , mKind(aKind)
+  , mReader(aKind, kMaxHeadBytes, kUnlimitedBodyBytes)
 {
 }
 
@@ -70,15 +79,20 @@
     mRewritten.clear();
     mDeliveredBytes = 0;
     ParseReceived();
-    if (mReader.Fault() != relay::HttpFault::kNone) {
-      throw Poco::Net::MessageException("malformed HTTP request");
+    if (mReader.Fault() != relay::HttpFault::kNone ||
+        mInterimResponses > kMaxInterimResponses) {
+      throw Poco::Net::MessageException("malformed HTTP message");
     }
     if (!mRewritten.empty()) {
       break;
     }
+    if (HasFinalResponse()) {
+      return 0;
+    }
     std::array<char, kReadBufferBytes> buf;
     const int n = StreamSocketImpl::receiveBytes(buf.data(), buf.size(), 0);
     if (n <= 0) {
+      HandleEnd();
       return n;
     }
     mReceived.append(buf.data(), static_cast<std::size_t>(n));
@@ -90,30 +104,66 @@
   return static_cast<int>(n);
 }
 
+bool
+StrictStream::HasFinalResponse() const
+{
+  return mKind == Kind::kResponse && mReader.IsDone() &&
+         mReader.Head().mStatus >= kFirstFinalStatus;
+}
+
+// The library takes the end of the connection for the end of a body in chunks.
 void
-StrictStream::ParseReceived()
+StrictStream::HandleEnd()
 {
-  if (mReceived.empty()) {
+  if (mKind == Kind::kRequest) {
     return;
   }
-  if (mReader.IsDone()) {
-    mReader.Reset();
+  mReader.ReadEnd();
+  if (!HasFinalResponse()) {
+    throw Poco::Net::MessageException("incomplete HTTP response");
   }
-  const bool hadHead = mReader.HasHead();
-  std::string body;
-  mReader.Read(mReceived, body);
-  if (mReader.Fault() != relay::HttpFault::kNone) {
+}
+
+void
+StrictStream::OnHead()
+{
+  const HttpHead& head = mReader.Head();
+  if (mKind == Kind::kResponse && head.mStatus < kFirstFinalStatus) {
+    ++mInterimResponses;
     return;
   }
-  if (!hadHead && mReader.HasHead()) {
-    mIsChunked = mReader.Head().Find("Transfer-Encoding") != nullptr;
-    mRewritten += SerializeHead(mReader.Head());
-  }
-  if (!body.empty()) {
-    mRewritten += mIsChunked ? MakeChunk(body) : body;
-  }
-  if (mReader.IsDone() && mIsChunked) {
-    mRewritten += "0\r\n\r\n";
+  mIsChunked = head.Find("Transfer-Encoding") != nullptr;
+  mRewritten += SerializeHead(head);
+}
+
+void
+StrictStream::ParseReceived()
+{
+  while (!mReceived.empty() && !HasFinalResponse() &&
+         mReader.Fault() == relay::HttpFault::kNone) {
+    if (mReader.IsDone()) {
+      mReader.Reset();
+      mIsChunked = false;
+    }
+    const std::size_t before = mReceived.size();
+    const bool hadHead = mReader.HasHead();
+    std::string body;
+    mReader.Read(mReceived, body);
+    if (mReader.Fault() != relay::HttpFault::kNone) {
+      return;
+    }
+    if (!hadHead && mReader.HasHead()) {
+      OnHead();
+    }
+    if (!body.empty()) {
+      mRewritten += mIsChunked ? MakeChunk(body) : body;
+    }
+    if (mReader.IsDone() && mIsChunked) {
+      mRewritten += "0\r\n\r\n";
+    }
+    if (!mRewritten.empty() || mReceived.size() == before) {
+      return;
+    }
   }
 }
 
--- a/packages/node/src/platform/platform_client.cpp
+++ b/packages/node/src/platform/platform_client.cpp
@@ -7,10 +7,10 @@
 #include <Poco/Net/HTTPClientSession.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
 #include <spdlog/spdlog.h>
 
 #include "heatherfork/configuration_document.h"
+#include "heatherfork/detail/http/strict_session.h"
 #include "heatherfork/detail/json/json_reader.h"
 
 namespace heatherfork::detail {
@@ -28,19 +28,22 @@
 HttpGet(const Address& aService, const std::string& aPath, Duration aTimeout)
 {
   try {
-    Poco::Net::HTTPClientSession session(
-      Poco::Net::SocketAddress(aService.mValue));
-    session.setTimeout(Poco::Timespan(aTimeout.count()));
+    const auto session =
+      MakeStrictSession(ConnectTo(aService, aTimeout), aTimeout);
     Poco::Net::HTTPRequest request("GET", aPath, "HTTP/1.1");
-    session.sendRequest(request);
+    request.setHost(aService.mValue);
+    session->sendRequest(request);
     Poco::Net::HTTPResponse response;
-    std::istream& input = session.receiveResponse(response);
+    std::istream& input = session->receiveResponse(response);
     std::string body(kMaxDocumentBytes + 1, '\0');
     input.read(body.data(), static_cast<std::streamsize>(body.size()));
     body.resize(static_cast<std::size_t>(input.gcount()));
     if (body.size() > kMaxDocumentBytes) {
       return absl::OutOfRangeError("expected at most one megabyte");
     }
+    if (!HasWholeResponse(*session)) {
+      return absl::UnavailableError("expected a complete answer");
+    }
     if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
       return absl::UnavailableError("expected status 200, found " +
                                     std::to_string(response.getStatus()));
--- a/packages/node/src/servers/server_client.cpp
+++ b/packages/node/src/servers/server_client.cpp
@@ -7,9 +7,8 @@
 #include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/Net/SocketAddress.h>
-#include <Poco/Net/StreamSocket.h>
 
+#include "heatherfork/detail/http/strict_session.h"
 #include "heatherfork/detail/runtime/event_loop.h"
 #include "heatherfork/detail/servers/engine_protocol.h"
 
@@ -37,35 +36,10 @@
          !std::holds_alternative<OrderCall>(aCall);
 }
 
-Poco::Timespan
+Duration
 RemainingTime(const CallServer& aCall)
 {
-  const Duration left =
-    std::max(kMinTimeout, aCall.mDeadline - EventLoop::Now());
-  return Poco::Timespan(left.count());
-}
-
-// Throws when the connection fails; no byte has been sent in that case.
-StreamSocket
-Connect(const CallServer& aCall)
-{
-  const Poco::Timespan connectTimeout(kConnectTimeout.count());
-  StreamSocket socket;
-  socket.connect(Poco::Net::SocketAddress(aCall.mAddress.mValue),
-                 std::min(RemainingTime(aCall), connectTimeout));
-  socket.setNoDelay(true);
-  return socket;
-}
-
-// A session over a connected socket has no host to reconnect to, and without
-// keep-alive the library never sends a request twice.
-std::unique_ptr<HTTPClientSession>
-MakeSession(const CallServer& aCall, const StreamSocket& aSocket)
-{
-  auto session = std::make_unique<HTTPClientSession>(aSocket);
-  session->setKeepAlive(false);
-  session->setTimeout(RemainingTime(aCall));
-  return session;
+  return std::max(kMinTimeout, aCall.mDeadline - EventLoop::Now());
 }
 
 // Returns false when the body exceeds kMaxReplyBytes.
@@ -83,14 +57,6 @@
   return true;
 }
 
-bool
-IsComplete(const HTTPResponse& aResponse, const std::string& aBody)
-{
-  const auto length = aResponse.getContentLength64();
-  return length == HTTPResponse::UNKNOWN_CONTENT_LENGTH ||
-         static_cast<std::size_t>(length) == aBody.size();
-}
-
 // Without Content-Length or chunked encoding the end of a body cannot be told
 // from a broken connection.
 bool
@@ -189,7 +155,9 @@
 {
   StreamSocket socket;
   try {
-    socket = Connect(aCall);
+    // Throws before any byte is sent.
+    socket = ConnectTo(aCall.mAddress,
+                       std::min(RemainingTime(aCall), kConnectTimeout));
   } catch (const std::exception&) {
     return ServerReply{ CallStatus::kNotSent };
   }
@@ -199,7 +167,7 @@
     if (aOpen.mIsAborted) {
       return ServerReply{ CallStatus::kNotSent };
     }
-    aOpen.mSession = MakeSession(aCall, socket);
+    aOpen.mSession = MakeStrictSession(socket, RemainingTime(aCall));
     session = aOpen.mSession.get();
   }
   try {
@@ -230,7 +198,7 @@
   }
   std::string body;
   if (!HasDelimitedBody(response) || !ReadBody(input, body) ||
-      !IsComplete(response, body)) {
+      !HasWholeResponse(aSession)) {
     return ServerReply{ CallStatus::kBroken };
   }
   if (status == CallStatus::kOk) {
