--- a/packages/node/src/http/strict_stream.cpp
+++ b/packages/node/src/http/strict_stream.cpp
@@ -115,8 +115,8 @@
 void
 StrictStream::HandleEnd()
 {
-  if (mKind == Kind::kRequest) {
-    return;
+  if (mKind == Kind::kRequest || !mReader.HasBegun()) {
+    return; // The library finds that no message has come.
   }
   mReader.ReadEnd();
   if (!HasFinalResponse()) {
