Tests: broken answers of replicas, names and length

Cause: the answers were a class with a name like a function's, and the test of the budget took 10 s and, beside other tests, over a minute, as failed replicas get few requests. Change: RawAnswer; 10 requests in place of 30, which a service without a budget would still exceed (20 calls, 15 allowed).

--- a/tests/relay/test_broken_answers.py
+++ b/tests/relay/test_broken_answers.py
@@ -48,30 +48,30 @@
 ]
 
 
-class sends:
+class RawAnswer:
     """Answers with these bytes and leaves the connection open."""
 
-    last = 0  # When such an answer was sent last.
+    sent_at = 0  # When one was sent last.
 
     def __init__(self, answer):
         self.answer = answer
 
     def __call__(self, connection, fields):
         connection.sendall(with_id(self.answer, fields))
-        sends.last = time.monotonic()
+        RawAnswer.sent_at = time.monotonic()
         return True
 
 
 def with_status(status, framing=FRAMINGS[0]):
-    return sends(b"HTTP/1.1 " + status.encode() + b" X\r\n" + SIGNED + framing)
+    return RawAnswer(b"HTTP/1.1 " + status.encode() + b" X\r\n" + SIGNED + framing)
 
 
 def with_first_line(line):
-    return sends(b"HTTP/1.1 200 X\r\n" + line + SIGNED + BODY + b"\r\nbody")
+    return RawAnswer(b"HTTP/1.1 200 X\r\n" + line + SIGNED + BODY + b"\r\nbody")
 
 
 def with_last_line(line):
-    return sends(b"HTTP/1.1 200 X\r\n" + SIGNED + BODY + line + b"\r\nbody")
+    return RawAnswer(b"HTTP/1.1 200 X\r\n" + SIGNED + BODY + line + b"\r\nbody")
 
 
 def lines_with(byte):
@@ -103,7 +103,7 @@
             replica.faults = shared
         request_id = "r%d" % next(self.numbers)
         response = self.node.send_request(path, request_id, more=TOKENS)
-        seconds = time.monotonic() - sends.last
+        seconds = time.monotonic() - RawAnswer.sent_at
         return response, self.platform.received(request_id), seconds
 
     def check_plain(self, answer):
@@ -133,7 +133,7 @@
 
     def test_interim_responses_precede_an_answer(self):
         interim = b"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\nX: v\r\n\r\nHTTP/1.1 199 X\r\n\r\n"
-        answer = sends(interim + b"HTTP/1.1 200 X\r\n" + SIGNED + BODY + b"\r\nbody")
+        answer = RawAnswer(interim + b"HTTP/1.1 200 X\r\n" + SIGNED + BODY + b"\r\nbody")
         (status, _, body, _), calls, _ = self.send("/once/x", self.platform.plain_replicas, [answer])
         self.assertEqual((200, b"body", 1), (status, body, len(calls)))
 
@@ -156,7 +156,7 @@
     def test_broken_answer_is_known_before_its_end(self):
         for answer in INCOMPLETE:
             with self.subTest(answer=answer):
-                self.check_plain(sends(answer))
+                self.check_plain(RawAnswer(answer))
 
     def test_broken_repeat_is_the_last_one(self):
         for answer in (with_status("000"), with_first_line(b"X Y: v\r\n")):
@@ -204,7 +204,7 @@
         self.addCleanup(node.stop)
         node.wait_ready()
         wait_until(lambda: node.log().count("event=replica ") >= 5)
-        count = 30
+        count = 10
         for replica in platform.plain_replicas:
             replica.faults = [with_status("000")] * 4 * count
         calls = 0
