Keys of any characters stand in the queries of store calls

What callers saw: one entry of another writer, with a key such as "a&b+c#d", stood in the list of replicas, and the list was longer than a page. Once all processes had started anew, nearly every request got 503: no node knew a replica.

Cause: the next page of a range is asked for after the last key of the page before. That key stood unescaped in the query. The store took "#", a blank or a broken "%" for an invalid call (400), "+" for a blank and "&" for the end of the field, so the first page or none came again, forever. A node that had the list before kept it; a new one had nothing.

--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -3,19 +3,38 @@
 import json
 import threading
 import time
-import urllib.parse
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+from store_query import is_request_line, read_query
+
+
+def encode_text(text):
+    """UTF-8; U+DC80 to U+DCFF become the byte that they stand for, other surrogates three bytes."""
+    try:
+        return text.encode()
+    except UnicodeEncodeError:
+        return b"".join(
+            bytes([ord(char) - 0xDC00])
+            if 0xDC80 <= ord(char) <= 0xDCFF
+            else char.encode("utf-8", "surrogatepass")
+            for char in text
+        )
+
 
 class FakeStore:
     """Holds items in memory. `mode` selects a fault.
 
     Modes: "" (none), "busy" (503), "silent" (no answer), "reset".
+    A call that isn't valid is answered 400 and noted in `refused`.
+    `escapes` selects how texts are written: with escapes, or as their bytes.
     """
 
-    def __init__(self):
+    def __init__(self, page_items=3, escapes=True):
+        self.page_items = page_items
+        self.escapes = escapes
+        self.refused = []
         self.items = {}
-        self.history = []
+        self.history = []  # (key, revision, event) of each change.
         self.written = {}  # What was written last under each key; None: deleted.
         self.revision = 100
         self.oldest = 100
@@ -31,6 +50,16 @@
             def log_message(self, *_):
                 pass
 
+            def parse_request(self):
+                if is_request_line(self.raw_requestline):
+                    return super().parse_request()
+                store.refused.append(self.raw_requestline)
+                self.request_version = self.protocol_version
+                self.command = self.requestline = ""
+                self.close_connection = True
+                self.send_error(400)
+                return False
+
             def do_GET(self):
                 store.answer(self)
 
@@ -39,7 +68,8 @@
         self.address = "127.0.0.1:%d" % self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
 
-    def put(self, key, value):
+    def put(self, key, value, **fields):
+        """Writes an item; `fields` replace those of its text in answers, None leaves one out."""
         text = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self.changed:
             self.written[key] = text
@@ -51,8 +81,10 @@
                 "CreatedAt": self.revision,
                 "Lease": 0,
             }
+            item.update(fields)
+            item = {name: field for name, field in item.items() if field is not None}
             self.items[key] = item
-            self.history.append(item)
+            self.history.append((key, self.revision, item))
             self.changed.notify_all()
 
     def delete(self, key):
@@ -60,9 +92,8 @@
             self.written[key] = None
             self.revision += 1
             self.items.pop(key, None)
-            self.history.append(
-                {"Key": key, "Revision": self.revision, "Deleted": True}
-            )
+            event = {"Key": key, "Revision": self.revision, "Deleted": True}
+            self.history.append((key, self.revision, event))
             self.changed.notify_all()
 
     def compact(self):
@@ -105,28 +136,31 @@
         if self.mode == "busy":
             self.reply(handler, 503, {})
             return
-        url = urllib.parse.urlsplit(handler.path)
-        query = dict(urllib.parse.parse_qsl(url.query))
-        prefix = query.get("PathPrefix", "")
-        if url.path.endswith("/kv-range"):
-            with self.changed:
-                found = [
-                    item
-                    for key, item in sorted(self.items.items())
-                    if key.startswith(prefix) and key > query.get("after", "")
-                ]
-                page = found[:3]
-                body = {
-                    "items": page,
-                    "HasMore": len(found) > len(page),
-                    "At": self.revision,
-                }
-            self.reply(handler, 200, body)
-        elif url.path.endswith("/kv-watch"):
+        call = read_query(handler.path)
+        if call is None:
+            self.refused.append(handler.path)
+            self.reply(handler, 400, {})
+            return
+        path, query = call
+        prefix = query.get("PathPrefix", b"")
+        if path.endswith("/kv-range"):
+            self.reply(handler, 200, self.range(prefix, query.get("after", b"")))
+        elif path.endswith("/kv-watch"):
             self.watch(handler, prefix, query)
         else:
             self.reply(handler, 404, {})
 
+    def range(self, prefix, after):
+        with self.changed:
+            keys = sorted((encode_text(key), key) for key in self.items)
+            found = [key for data, key in keys if data.startswith(prefix) and data > after]
+            page = found[: self.page_items]
+            return {
+                "items": [self.items[key] for key in page],
+                "HasMore": len(found) > len(page),
+                "At": self.revision,
+            }
+
     def watch(self, handler, prefix, query):
         after = int(query["after"])
         deadline = time.monotonic() + int(query["WaitMs"]) / 1000
@@ -138,8 +172,8 @@
             while True:
                 events = [
                     event
-                    for event in self.history
-                    if event["Revision"] > after and event["Key"].startswith(prefix)
+                    for key, revision, event in self.history
+                    if revision > after and encode_text(key).startswith(prefix)
                 ]
                 left = deadline - time.monotonic()
                 if era != self.era and after > self.revision:
@@ -152,7 +186,7 @@
         self.reply(handler, 200, body)
 
     def reply(self, handler, status, body):
-        text = json.dumps(body).encode()
+        text = encode_text(json.dumps(body, ensure_ascii=self.escapes))
         try:
             self.write(handler, status, text)
         except OSError:
--- /dev/null
+++ b/tests/relay/test_odd_entries.py
@@ -0,0 +1,206 @@
+"""Tests that odd entries of the store, from other writers, stop nothing."""
+import contextlib
+import time
+import unittest
+
+from fake_replica import FakeReplica
+from fake_store import FakeStore
+from relay_nodes import Node, configuration, route
+
+RECOVER_SECONDS = 12
+NODES_AT_ONCE = 16
+
+# Entries of the list that name a replica, and one that is written later. Each has a service and a
+# route of its own, so that a request shows whether it is known.
+REPLICAS = ["i-desk", "j-desk"]
+LATE_REPLICA = "k-desk"
+
+NO_ENTRY = b"\xff no entry \x00"
+
+# Parts of names. All are written with escapes, and as their bytes.
+NAME_PARTS = [
+    *" !\"#$%&'()*+,-./:;<=>?@[\\]^_`{|}~",
+    "%2",
+    "%zz",
+    "%41",
+    "%00",
+    "%25",
+    "%0d%0a",
+    "a&after=z",
+    "&PathPrefix=x",
+    "..",
+    "/../",
+    "?a=b",
+    " HTTP/1.1",
+    "\r",
+    "\n",
+    "\t",
+    "\r\n",
+    "\r\nX-More: 1\r\n\r\nGET /x HTTP/1.1\r\n",
+    "\x01",
+    "\x1b[2J",
+    "\x7f",
+    "\x80",
+    "\xa0",
+    "\xe9",
+    "\u2028",
+    "\u6f22",
+    "\ufeff",
+    "\ufffd",
+    "\ufffe",
+    "\U0001f600",
+    "\U0010ffff",
+    "x" * 180,
+]
+
+# Before and after the replicas; with pages of three, first and last of a page, several in a row,
+# and two pages of nothing else.
+ODD_COUNTS = {"a": 7, "i-m": 4, "x": 2}
+
+
+def odd_names(part):
+    return [
+        "%s%s%d" % (start, part, number)
+        for start, count in ODD_COUNTS.items()
+        for number in range(count)
+    ]
+
+
+def configuration_with(version, replicas):
+    value = configuration(version)
+    for name in replicas:
+        value["Routes"].append(route("/%s/" % name, name, "idempotent"))
+        value["Services"].append({"Name": name, "HealthPath": "/health", "MaxConnections": 100})
+    return value
+
+
+class Site:
+    """A store with replicas and odd entries, and one node."""
+
+    def __init__(self, names, escapes=True, page_items=3, **fields):
+        self.store = FakeStore(page_items, escapes)
+        self.replicas = [FakeReplica(name) for name in [*REPLICAS, LATE_REPLICA]]
+        self.store.put("op/config", configuration_with(3, REPLICAS))
+        for name in names:
+            self.store.put("servers/" + name, NO_ENTRY, **fields)
+        for replica in self.replicas[:2]:
+            self.put_replica(replica)
+        self.node = None
+
+    def put_replica(self, replica, **fields):
+        self.store.put("servers/" + replica.name, {**replica.entry(replica.name), **fields})
+
+    def start(self):
+        self.started_at = time.monotonic()
+        self.node = Node("n1", self.store.address)
+
+    def stop(self):
+        if self.node:
+            self.node.stop()
+
+    def is_served_by(self, replica):
+        before = len(replica.received)
+        try:
+            answer = self.node.send_request("/%s/x" % replica.name)
+        except OSError:
+            return False
+        return answer[0] == 200 and len(replica.received) > before
+
+    def problem(self):
+        """Returns what a caller misses; empty if the replicas are all in use, also a later one."""
+        for replica in self.replicas[:2]:
+            deadline = self.started_at + RECOVER_SECONDS
+            if not until(deadline, lambda: self.is_served_by(replica)):
+                return "no answer of " + replica.name
+        late = self.replicas[2]
+        self.put_replica(late)
+        self.store.put("op/config", configuration_with(4, [*REPLICAS, LATE_REPLICA]))
+        if not until(time.monotonic() + RECOVER_SECONDS, lambda: self.is_served_by(late)):
+            return "no answer of the later replica on the later route"
+        if self.store.refused:
+            return "refused: %r" % self.store.refused[0]
+        return ""
+
+
+def until(deadline, condition):
+    while not condition():
+        if time.monotonic() > deadline:
+            return False
+        time.sleep(0.02)
+    return True
+
+
+class OddEntriesTest(unittest.TestCase):
+    def start(self, site):
+        self.addCleanup(site.stop)
+        site.start()
+        return site
+
+    def check_rows(self, rows):
+        """Rows: a text for the message, a site that is not started. Several run at once."""
+        for first in range(0, len(rows), NODES_AT_ONCE):
+            some = rows[first : first + NODES_AT_ONCE]
+            for _, site in some:
+                self.start(site)
+            for text, site in some:
+                with self.subTest(row=text):
+                    self.assertEqual("", site.problem())
+                site.stop()
+
+    def test_names_with_any_character_hold_up_nothing(self):
+        rows = []
+        for escapes in (True, False):
+            for part in NAME_PARTS:
+                rows.append(((part, escapes), Site(odd_names(part), escapes)))
+        self.check_rows(rows)
+
+    def test_place_of_the_entry_does_not_matter(self):
+        odd = "&b+c#d e%f\r\n\u6f22"
+        places = {
+            "none": [],
+            "first of a page": ["a" + odd],
+            "last of a page": ["a" + odd, "z" + odd],
+            "last of the first page": ["i-m" + odd, "z", "zz"],
+            "last of the list": ["z" + odd],
+            "several in a row": ["i-m%d%s" % (number, odd) for number in range(4)],
+            "whole pages": ["a%d%s" % (number, odd) for number in range(9)],
+            "pages of one": ["i-m" + odd],
+        }
+        rows = []
+        for place, names in places.items():
+            page_items = 1 if place == "pages of one" else 3
+            rows.append((place, Site(names, page_items=page_items)))
+        self.check_rows(rows)
+
+    def test_all_processes_start_anew_beside_an_odd_entry(self):
+        site = Site(odd_names("&b+c#d e%f"))
+        nodes = [Node("n0", site.store.address)]
+        nodes += [Node("n%d" % n, site.store.address, seed=nodes[0].address) for n in (1, 2)]
+        with contextlib.ExitStack() as stack:
+            for node in nodes:
+                stack.callback(node.stop)
+            for life in range(2):
+                if life > 0:
+                    for node in nodes:
+                        node.process.kill()
+                        node.process.wait()
+                    for node in nodes:
+                        node.start()
+                started_at = time.monotonic()
+                for node in nodes:
+                    site.node = node
+                    for replica in site.replicas[:2]:
+                        self.assertTrue(
+                            until(
+                                started_at + RECOVER_SECONDS,
+                                lambda: site.is_served_by(replica),
+                            ),
+                            (life, node.name, replica.name),
+                        )
+            for node in nodes:
+                site.node, site.started_at = node, time.monotonic()
+                self.assertEqual("", site.problem(), node.name)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -1,6 +1,9 @@
 #include "heatherfork/configuration_document.h"
 #include "platform/wire.h"
 
+#include <cctype>
+#include <cstdio>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace heatherfork;
@@ -485,3 +488,61 @@
     CHECK(answer.mEra == row.mExpected);
   }
 }
+
+// The entries of other writers have keys of any characters, and a page ends at
+// one of them.
+TEST(Platform, EscapesKeysInStoreCalls)
+{
+  struct Row
+  {
+    const char* mName;
+    StoreCall::Kind mKind;
+    std::string StoreCall::*mKey;
+    std::string mBefore;
+    std::string mAfter;
+  };
+  const Row kRows[] = {
+    { "key",
+      StoreCall::Kind::kItem,
+      &StoreCall::mPath,
+      "GET /heatherfork/kv-key?Key=",
+      " HTTP/1.1\r\nHost: s:1\r\n\r\n" },
+    { "prefix",
+      StoreCall::Kind::kRange,
+      &StoreCall::mPath,
+      "GET /heatherfork/kv-range?PathPrefix=",
+      " HTTP/1.1\r\nHost: s:1\r\n\r\n" },
+    { "last key of a page",
+      StoreCall::Kind::kRange,
+      &StoreCall::mFrom,
+      "GET /heatherfork/kv-range?PathPrefix=&after=",
+      " HTTP/1.1\r\nHost: s:1\r\n\r\n" },
+    { "prefix of a watch",
+      StoreCall::Kind::kWatch,
+      &StoreCall::mPath,
+      "GET /heatherfork/kv-watch?PathPrefix=",
+      "&after=0&WaitMs=0 HTTP/1.1\r\nHost: s:1\r\n\r\n" },
+  };
+  const std::string_view kPlain = "-._~/";
+  for (const Row& row : kRows) {
+    for (int byte = 0; byte < 256; ++byte) {
+      const char character = static_cast<char>(byte);
+      StoreCall call;
+      call.mKind = row.mKind;
+      call.*row.mKey = std::string("a") + character + "b";
+      const std::string text = kWire.WriteStoreCall({ "s:1" }, call);
+      const bool isAlphanumeric =
+        byte < 0x80 && std::isalnum(static_cast<unsigned char>(byte)) != 0;
+      char escaped[] = "%00";
+      std::snprintf(escaped, sizeof(escaped), "%%%02X", byte);
+      const std::string written =
+        isAlphanumeric || kPlain.find(character) != std::string_view::npos
+          ? std::string(1, character)
+          : escaped;
+      const std::string expected =
+        row.mBefore + "a" + written + "b" + row.mAfter;
+      STRCMP_EQUAL_TEXT(expected.c_str(), text.c_str(), row.mName);
+      CHECK_EQUAL(expected.size(), text.size());
+    }
+  }
+}
