An item of the store that can't be read spoils no page

What callers saw: with an item that can't be read at the end of a page, all replicas after it were unknown; a page of such items ended the list. With a key that a JSON reader refuses ("\u0000", half of a surrogate pair, bytes that are no UTF-8), or a number or a nesting that it refuses anywhere in an item, a new node knew no replica at all: 503.

Cause: items that can't be read were dropped, the next page began after the last one that was left, and a page with none left counted as the last. A body was parsed as a whole, so one item that is no JSON made the page malformed.

Change: when a body is no JSON it is split at its items, by quotes and brackets, and each is read by itself. An item that can't be read keeps its key, taken from its bytes, and the next page begins after the last key, whatever its item is worth. A page with more to come that names no new key is a failed call: it neither ends the list nor is read again without a pause.

--- a/fuzz/fuzz-server-reply.cpp
+++ b/fuzz/fuzz-server-reply.cpp
@@ -3,10 +3,12 @@
 #include <cstdlib>
 #include <string>
 
+#include "heatherfork/detail/json/split.h"
 #include "heatherfork/detail/platform/platform_client.h"
 #include "heatherfork/detail/servers/engine_protocol.h"
 
-/// Fuzzes the parsers of replies from backend servers and of the VM list.
+/// Fuzzes the parsers of replies from backend servers, of the VM list and of
+/// pages of a store.
 extern "C" int
 LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
 {
@@ -22,5 +24,11 @@
   (void)detail::ReadStreamItem(true, body);
   (void)detail::IsCancelledReply(body);
   (void)detail::ReadVmList(body);
+  (void)detail::json::FindString(body, "Key");
+  if (const auto split = detail::json::SplitAt(body, "items")) {
+    for (const std::string_view item : split->mItems) {
+      (void)detail::json::FindString(item, "Key");
+    }
+  }
   return 0;
 }
--- a/packages/relay/include/heatherfork/detail/relay/store_copy.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_copy.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
     kFits,
     kRestart, ///< The answer continues from another state than the copy's.
     kStale,   ///< Of an earlier era than the copy.
+    kEndless, ///< A page with more to come that does not say after which key.
   };
 
   explicit StoreCopy(Differs aDiffers);
@@ -84,6 +86,7 @@
   StoreEra mEra = 0;
   Revision mAt = 0;
   std::string mPageStartKey;
+  std::set<std::string> mPageStartKeys; ///< Of the range read in progress.
   StoreEra mPagesEra = 0;
   Revision mPagesRevision = 0;
   Items mPages; ///< Pages of the range read in progress.
--- a/packages/relay/include/heatherfork/relay_wire.h
+++ b/packages/relay/include/heatherfork/relay_wire.h
@@ -52,7 +52,8 @@
   StoreEra mEra = 0; ///< Of mAfter and of the copy that the answer goes into.
 };
 
-/// An item of the store, or its deletion.
+/// An item of the store, or its deletion. An item that can't be read has a key
+/// alone.
 struct StoreItem
 {
   std::string mKey;
@@ -74,6 +75,7 @@
   };
   Status mStatus = Status::kMalformed;
   std::vector<StoreItem> mItems;
+  std::string mLastKey; ///< After which the next page of a range begins.
   bool mHasMore = false;
   Revision mAt = 0;
   std::optional<StoreEra> mEra; ///< Empty if the store does not name it.
--- a/packages/relay/src/store_copy.cpp
+++ b/packages/relay/src/store_copy.cpp
@@ -16,6 +16,7 @@
 {
   mIsComplete = false;
   mPageStartKey.clear();
+  mPageStartKeys.clear();
   mPages.clear();
 }
 
@@ -41,7 +42,13 @@
   }
   const bool isNextPage =
     aCall.mFrom == mPageStartKey && (mPageStartKey.empty() || era == mPagesEra);
-  return isNextPage ? AnswerFit::kFits : AnswerFit::kRestart;
+  if (!isNextPage) {
+    return AnswerFit::kRestart;
+  }
+  const bool isEndless =
+    aAnswer.mHasMore &&
+    (aAnswer.mLastKey.empty() || mPageStartKeys.count(aAnswer.mLastKey) > 0);
+  return isEndless ? AnswerFit::kEndless : AnswerFit::kFits;
 }
 
 bool
@@ -55,14 +62,16 @@
   }
   for (const StoreItem& item : aAnswer.mItems) {
     mPages[item.mKey] = item;
-    mPageStartKey = item.mKey;
   }
-  if (aAnswer.mHasMore && !aAnswer.mItems.empty()) {
+  if (aAnswer.mHasMore) {
+    mPageStartKey = aAnswer.mLastKey;
+    mPageStartKeys.insert(mPageStartKey);
     return false;
   }
   Items pages;
   pages.swap(mPages);
   mPageStartKey.clear();
+  mPageStartKeys.clear();
   if (mIsComplete && !IsNewer(mPagesEra, mPagesRevision)) {
     return false; // A peer's copy arrived first and is not older.
   }
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -208,17 +208,19 @@
       HandleFailure("answer of an earlier era than " +
                     std::to_string(mCopy.HeldEra()));
       return;
+    case StoreCopy::AnswerFit::kEndless:
+      HandleFailure("a page without a key to continue after");
+      return;
   }
   mIsCalling = false;
   const Instant now = SteadyNow();
   MarkReachable("the store's answer");
   if (mCall.mKind == StoreCall::Kind::kRange) {
     mPacing.OnPage(now);
-    const bool isLast = !aAnswer.mHasMore || aAnswer.mItems.empty();
     if (mCopy.ApplyPage(aAnswer)) {
       PublishItems();
     }
-    if (isLast && mCopy.IsComplete()) {
+    if (!aAnswer.mHasMore && mCopy.IsComplete()) {
       Confirm(mRangeStartedAt);
     }
     return;
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -1,5 +1,6 @@
 """Tests that odd entries of the store, from other writers, stop nothing."""
 import contextlib
+import json
 import time
 import unittest
 
@@ -37,6 +38,7 @@
     "\t",
     "\r\n",
     "\r\nX-More: 1\r\n\r\nGET /x HTTP/1.1\r\n",
+    "\0",
     "\x01",
     "\x1b[2J",
     "\x7f",
@@ -50,9 +52,38 @@
     "\ufffe",
     "\U0001f600",
     "\U0010ffff",
+    "\ud800",
+    "\udbff",
+    "\ude00\ud83d",
     "x" * 180,
 ]
 
+# Names of bytes that are no UTF-8, which only a text without escapes can hold.
+NO_TEXTS = [b"\xff", b"\xc0\xaf", b"\xe2\x82", b"\xed\xa0\x80", b"\xf4\x90\x80\x80", b"a\x80b"]
+
+# Other fields of an item in the store's answers. Items without a key follow, which no page may
+# end with: it doesn't say where the next one begins.
+ODD_ITEMS = [
+    {"Revision": "7"},
+    {"Revision": None},
+    {"Revision": [7]},
+    {"Revision": 10**30},
+    {"Revision": float("inf")},
+    {"Revision": float("nan")},
+    {"Value": 7},
+    {"Value": None},
+    {"Value": {"a": 1}},
+    {"Value": "%%%"},
+    {"Value": "YQ"},
+    {"Value": "\ud800"},
+    {"Value": "A" * 1_400_000},
+    {"Deleted": "yes"},
+    {"More": json.loads("[" * 100 + "]" * 100)},
+    {"More": "\0"},
+    {"More": "]}\\\"[{"},
+]
+KEYLESS_ITEMS = [{"Key": None}, {"Key": 7}, {"Key": ["servers/a"]}, {"Key": {"Key": "servers/a"}}]
+
 # Before and after the replicas; with pages of three, first and last of a page, several in a row,
 # and two pages of nothing else.
 ODD_COUNTS = {"a": 7, "i-m": 4, "x": 2}
@@ -80,13 +111,18 @@
     def __init__(self, names, escapes=True, page_items=3, **fields):
         self.store = FakeStore(page_items, escapes)
         self.replicas = [FakeReplica(name) for name in [*REPLICAS, LATE_REPLICA]]
+        self.names = names
+        self.fields = fields
         self.store.put("op/config", configuration_with(3, REPLICAS))
-        for name in names:
-            self.store.put("servers/" + name, NO_ENTRY, **fields)
+        self.put_odd_entries()
         for replica in self.replicas[:2]:
             self.put_replica(replica)
         self.node = None
 
+    def put_odd_entries(self):
+        for name in self.names:
+            self.store.put("servers/" + name, NO_ENTRY, **self.fields)
+
     def put_replica(self, replica, **fields):
         self.store.put("servers/" + replica.name, {**replica.entry(replica.name), **fields})
 
@@ -113,6 +149,7 @@
             if not until(deadline, lambda: self.is_served_by(replica)):
                 return "no answer of " + replica.name
         late = self.replicas[2]
+        self.put_odd_entries()
         self.put_replica(late)
         self.store.put("op/config", configuration_with(4, [*REPLICAS, LATE_REPLICA]))
         if not until(time.monotonic() + RECOVER_SECONDS, lambda: self.is_served_by(late)):
@@ -152,8 +189,21 @@
         for escapes in (True, False):
             for part in NAME_PARTS:
                 rows.append(((part, escapes), Site(odd_names(part), escapes)))
+        for data in NO_TEXTS:
+            part = data.decode("utf-8", "surrogateescape")
+            rows.append((data, Site(odd_names(part), False)))
         self.check_rows(rows)
 
+    def test_items_that_cannot_be_read_spoil_no_page(self):
+        rows = []
+        for escapes in (True, False):
+            for fields in ODD_ITEMS:
+                rows.append(((fields, escapes), Site(odd_names("n"), escapes, **fields)))
+            for fields in KEYLESS_ITEMS:
+                names = ["a", "i-m", "x"]
+                rows.append(((fields, escapes), Site(names, escapes, **fields)))
+        self.check_rows([(str(text)[:80], site) for text, site in rows])
+
     def test_place_of_the_entry_does_not_matter(self):
         odd = "&b+c#d e%f\r\n\u6f22"
         places = {
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -546,3 +546,65 @@
     }
   }
 }
+
+// Other writers' items may not be readable. They end neither the page nor the
+// list.
+TEST(Platform, ReadsItemsOfTheStoreOneByOne)
+{
+  struct Row
+  {
+    const char* mName;
+    std::string mItems;
+    std::string mRead; ///< KEY=VALUE@REVISION of each item.
+    std::string mLastKey;
+  };
+  const std::string kItem = R"({"Key":"a","Value":"eA==","Revision":4})";
+  const Row kRows[] = {
+    { "none", "", "", "" },
+    { "sound", kItem, "a=x@4 ", "a" },
+    { "no revision", R"({"Key":"b","Value":"eA=="})", "b=@0 ", "b" },
+    { "no value", R"({"Key":"b","Revision":5})", "b=@5 ", "b" },
+    { "no base64", R"({"Key":"b","Value":"%","Revision":5})", "b=@5 ", "b" },
+    { "no JSON",
+      kItem + R"(,{"Key":"b","Revision":1e999})",
+      "a=x@4 b=@0 ",
+      "b" },
+    { "no text", kItem + ",{\"Key\":\"b\xff\"}", "a=x@4 b\xff=@0 ", "b\xff" },
+    { "no key", kItem + R"(,{"Key":7},{"Value":"eA=="},5)", "a=x@4 ", "a" },
+    { "no key and no JSON",
+      kItem + R"(,{"Key":7,"Value":nul})",
+      "a=x@4 ",
+      "a" },
+    { "before a sound one",
+      R"({"Key":"\ud800"},{"More":"\u0000"},)" + kItem,
+      "\xed\xa0\x80=@0 a=x@4 ",
+      "a" },
+  };
+  const std::pair<StoreCall::Kind, std::string> kKinds[] = {
+    { StoreCall::Kind::kRange, "items" },
+    { StoreCall::Kind::kWatch, "events" },
+  };
+  HttpHead head;
+  head.mStatus = 200;
+  for (const Row& row : kRows) {
+    for (const auto& [kind, list] : kKinds) {
+      StoreCall call;
+      call.mKind = kind;
+      const StoreAnswer answer = kWire.ReadStoreAnswer(
+        call,
+        head,
+        R"({"At":9,"HasMore":true,")" + list + "\":[" + row.mItems + "]}");
+      std::string read;
+      for (const StoreItem& item : answer.mItems) {
+        read += item.mKey + "=" + item.mValue + "@" +
+                std::to_string(item.mRevision) + " ";
+      }
+      CHECK_TEXT(answer.mStatus == StoreAnswer::Status::kOk, row.mName);
+      STRCMP_EQUAL_TEXT(row.mRead.c_str(), read.c_str(), row.mName);
+      STRCMP_EQUAL_TEXT(
+        row.mLastKey.c_str(), answer.mLastKey.c_str(), row.mName);
+      CHECK_EQUAL(9, answer.mAt);
+      CHECK_TRUE(answer.mHasMore);
+    }
+  }
+}
--- a/tests/unit-store-copy.cpp
+++ b/tests/unit-store-copy.cpp
@@ -27,6 +27,7 @@
   StoreAnswer answer;
   answer.mStatus = StoreAnswer::Status::kOk;
   answer.mAt = aAt;
+  answer.mLastKey = aItems.empty() ? "" : aItems.back().mKey;
   answer.mItems = std::move(aItems);
   answer.mHasMore = aHasMore;
   return answer;
@@ -272,6 +273,56 @@
   }
 }
 
+// Such a page would be read forever, or end a list that goes on.
+TEST(StoreCopy, PageWithMoreLeadsToAnotherPage)
+{
+  struct Row
+  {
+    const char* mName;
+    std::vector<std::string> mLastKeys; ///< Of the pages before.
+    std::string mLastKey;
+    bool mHasMore;
+    StoreCopy::AnswerFit mExpected;
+  };
+  using enum StoreCopy::AnswerFit;
+  const Row kRows[] = {
+    { "only page", {}, "a", false, kFits },
+    { "no items", {}, "", false, kFits },
+    { "first page", {}, "a", true, kFits },
+    { "next page", { "a" }, "b", true, kFits },
+    { "last page without items", { "a" }, "", false, kFits },
+    { "in another order", { "b" }, "a", true, kFits },
+    { "no key", {}, "", true, kEndless },
+    { "no key after a page", { "a" }, "", true, kEndless },
+    { "same page", { "a" }, "a", true, kEndless },
+    { "turns in a circle", { "a", "b" }, "a", true, kEndless },
+  };
+  for (const Row& row : kRows) {
+    StoreCopy copy(Differs);
+    for (const std::string& key : row.mLastKeys) {
+      CHECK_FALSE(
+        copy.ApplyPage(MakeAnswer(10, { { key, "x,1", 4, false } }, true)));
+    }
+    StoreCall call;
+    call.mKind = StoreCall::Kind::kRange;
+    call.mFrom = copy.PageStartKey();
+    StoreAnswer page = MakeAnswer(10, {}, row.mHasMore);
+    page.mLastKey = row.mLastKey;
+    CHECK_TEXT(copy.Check(call, page) == row.mExpected, row.mName);
+  }
+}
+
+// The items of a page may all be of no use.
+TEST(StoreCopy, PageWithoutItemsIsNotTheLast)
+{
+  StoreCopy copy(Differs);
+  StoreAnswer page = MakeAnswer(10, {}, true);
+  page.mLastKey = "a";
+  CHECK_FALSE(copy.ApplyPage(page));
+  CHECK_FALSE(copy.IsComplete());
+  STRCMP_EQUAL("a", copy.PageStartKey().c_str());
+}
+
 TEST(StoreCopy, PagesOfTwoErasAreNotJoined)
 {
   StoreCopy copy(Differs);
