Entries that name no replica are neither held nor told, and logged once

What callers saw: a node that can't reach the store, and learns the list from another node, knew no replica while the list held 13 odd entries of 1 MB: 503 on all its requests.

Cause: a node kept every item below its prefix, and told others all of them. The list no longer fitted into one message to another node, which was dropped. Each publication of the list logged each such entry again, with the bytes of its key as they are, line ends too. Keys beside the configuration that begin with its key were kept and told as well.

Change: a reader asks for each item whether it is of use (a replica's entry; the configuration's key itself). Others count as deletions: they take the place of an entry that named a replica before, and otherwise nothing is held or told.

--- a/packages/relay/include/heatherfork/detail/relay/store_reader.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_reader.h
@@ -14,6 +14,11 @@
 /// Callbacks of a reader.
 struct StoreHooks
 {
+  /// Called for each item read, or received from a peer. Returns whether it is
+  /// of use: others are neither held nor sent to peers, whatever their number
+  /// and size.
+  std::function<bool(const StoreItem&)> mIsUseful;
+
   /// Called after each change with all current items.
   std::function<void(const StoreCopy::Items&)> mOnItems;
 
@@ -73,7 +78,7 @@
 
   /// Merges changes from another node. Returns true if earlier changes are
   /// missing and a full copy should be requested.
-  bool ApplyUpdate(const StoreUpdate& aUpdate);
+  bool ApplyUpdate(StoreUpdate aUpdate);
 
   /// Whether to request another node's copy now because the store does not
   /// answer.
@@ -86,10 +91,13 @@
   void OnFailed(const CallFailure& aFailure) override;
 
   void Begin(Instant aNow);
-  void HandleAnswer(const StoreAnswer& aAnswer);
+  void HandleAnswer(StoreAnswer aAnswer);
   void HandleFailure(const std::string& aReason);
   void MarkReachable(const char* aSource);
 
+  /// Turns items of no use into deletions.
+  void DropUseless(std::vector<StoreItem>& aItems) const;
+
   void PublishItems();
   void Confirm(Instant aAskedAt);
 
--- a/packages/relay/include/heatherfork/detail/relay/store_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_watch.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "heatherfork/detail/relay/line_log.h"
+#include "heatherfork/detail/relay/skipped_entries.h"
 #include "heatherfork/detail/relay/store_reader.h"
 #include "heatherfork/member.h"
 #include "heatherfork/peer_message.h"
@@ -53,6 +54,11 @@
 private:
   void OnRoutingItems(const StoreReader::Items& aItems);
   void OnReplicaItems(const StoreReader::Items& aItems);
+
+  /// Whether an item is a replica's entry, or a deletion. Logs each other entry
+  /// once.
+  bool IsReplica(const StoreItem& aItem);
+
   void OnRoutingConfirmed(Instant aAskedAt);
   void OnRestored(const char* aName, StoreEra aEra);
   void OnReachability(const char* aName,
@@ -77,6 +83,7 @@
   std::optional<Revision> mHeldRouting;
   StoreReader mRouting;
   StoreReader mReplicas;
+  SkippedEntries mSkippedEntries;
   Instant mStartedAt;
   std::mt19937_64 mRandom;
 };
--- a/packages/relay/src/store_copy.cpp
+++ b/packages/relay/src/store_copy.cpp
@@ -61,7 +61,9 @@
     mPagesRevision = aAnswer.mAt;
   }
   for (const StoreItem& item : aAnswer.mItems) {
-    mPages[item.mKey] = item;
+    if (!item.mIsDeleted) {
+      mPages[item.mKey] = item;
+    }
   }
   if (aAnswer.mHasMore) {
     mPageStartKey = aAnswer.mLastKey;
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -122,11 +122,25 @@
 void
 StoreReader::ApplyPeerSnapshot(StoreEra aEra, Revision aAt, Items aItems)
 {
+  std::erase_if(aItems, [this](const auto& aItem) {
+    return !mHooks.mIsUseful(aItem.second);
+  });
   if (mCopy.ApplySnapshot(aEra, aAt, std::move(aItems))) {
     PublishItems();
   }
 }
 
+void
+StoreReader::DropUseless(std::vector<StoreItem>& aItems) const
+{
+  for (StoreItem& item : aItems) {
+    if (!mHooks.mIsUseful(item)) {
+      item.mIsDeleted = true;
+      item.mValue = std::string{};
+    }
+  }
+}
+
 void
 StoreReader::PublishItems()
 {
@@ -138,8 +152,9 @@
 }
 
 bool
-StoreReader::ApplyUpdate(const StoreUpdate& aUpdate)
+StoreReader::ApplyUpdate(StoreUpdate aUpdate)
 {
+  DropUseless(aUpdate.mItems);
   const StoreCopy::MergeResult result = mCopy.ApplyUpdate(aUpdate);
   if (result == StoreCopy::MergeResult::kGap) {
     return true;
@@ -180,7 +195,7 @@
 }
 
 void
-StoreReader::HandleAnswer(const StoreAnswer& aAnswer)
+StoreReader::HandleAnswer(StoreAnswer aAnswer)
 {
   switch (aAnswer.mStatus) {
     case StoreAnswer::Status::kOk:
@@ -214,6 +229,7 @@
   }
   mIsCalling = false;
   const Instant now = SteadyNow();
+  DropUseless(aAnswer.mItems);
   MarkReachable("the store's answer");
   if (mCall.mKind == StoreCall::Kind::kRange) {
     mPacing.OnPage(now);
--- a/packages/relay/src/store_watch.cpp
+++ b/packages/relay/src/store_watch.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <absl/strings/escaping.h>
+
 #include "heatherfork/store_readers.h"
 
 namespace heatherfork::relay {
@@ -32,6 +34,9 @@
   return pace;
 }
 
+// Other writers may make any number of entries.
+constexpr std::size_t kMaxSkippedEntries = 10000;
+
 // A proof of current keys counts from the question, so its age at the reader
 // reaches twice the wait of a watch.
 constexpr int kKeyWaitPart = 16;
@@ -72,6 +77,10 @@
       mWire.RoutingKey(),
       PaceForRouting(aSettings.mRelay),
       StoreHooks{
+        // Other keys may begin with the routing's.
+        [this](const StoreItem& aItem) {
+          return aItem.mKey == mWire.RoutingKey();
+        },
         [this](const StoreReader::Items& aItems) { OnRoutingItems(aItems); },
         [this](bool aIsReachable, const std::string& aReason) {
           OnReachability("routing", aIsReachable, aReason);
@@ -90,6 +99,7 @@
       PaceForMaxAge(aSettings.mRelay.mMaxLeavingDelay,
                     aSettings.mRelay.mMaxLeavingDelay / 8),
       StoreHooks{
+        [this](const StoreItem& aItem) { return IsReplica(aItem); },
         [this](const StoreReader::Items& aItems) { OnReplicaItems(aItems); },
         [this](bool aIsReachable, const std::string& aReason) {
           OnReachability("replicas", aIsReachable, aReason);
@@ -107,6 +117,7 @@
                  mWire.ReadReplica(aNew.mKey, aNew.mValue, reason);
         },
         {} })
+  , mSkippedEntries(kMaxSkippedEntries)
   , mStartedAt(SteadyNow())
   , mRandom(aSettings.mNode.mSeed)
 {
@@ -157,19 +168,32 @@
   Replicas replicas;
   for (const auto& [key, item] : aItems) {
     std::string reason;
-    const auto replica = mWire.ReadReplica(key, item.mValue, reason);
-    if (!replica) {
-      std::string text = "key=" + key;
-      text.append(" reason=\"").append(reason).append("\"");
-      mLog.Add(LogLevel::kInfo, "replica-unreadable", "", text);
-      continue;
+    if (auto replica = mWire.ReadReplica(key, item.mValue, reason)) {
+      replicas.push_back(std::move(*replica));
     }
-    replicas.push_back(*replica);
   }
   std::sort(replicas.begin(), replicas.end());
   mHooks.mPost(ReplicasRead{ std::move(replicas) });
 }
 
+bool
+StoreWatch::IsReplica(const StoreItem& aItem)
+{
+  std::string reason;
+  if (aItem.mIsDeleted || mWire.ReadReplica(aItem.mKey, aItem.mValue, reason)) {
+    mSkippedEntries.Remove(aItem.mKey);
+    return true;
+  }
+  if (mSkippedEntries.Add(aItem.mKey)) {
+    mLog.Add(LogLevel::kWarning,
+             "replica-unreadable",
+             "",
+             "key=\"" + absl::CHexEscape(aItem.mKey) + "\" reason=\"" +
+               absl::CHexEscape(reason) + "\"");
+  }
+  return false;
+}
+
 // Asks a random live node. Half of the nodes may get no answer from the store
 // either, so the next attempt picks again.
 void
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -6,7 +6,7 @@
 
 from fake_replica import FakeReplica
 from fake_store import FakeStore
-from relay_nodes import Node, configuration, route
+from relay_nodes import Node, configuration, route, wait_until
 
 RECOVER_SECONDS = 12
 NODES_AT_ONCE = 16
@@ -108,10 +108,11 @@
 class Site:
     """A store with replicas and odd entries, and one node."""
 
-    def __init__(self, names, escapes=True, page_items=3, **fields):
+    def __init__(self, names, escapes=True, page_items=3, value=NO_ENTRY, **fields):
         self.store = FakeStore(page_items, escapes)
         self.replicas = [FakeReplica(name) for name in [*REPLICAS, LATE_REPLICA]]
         self.names = names
+        self.value = value
         self.fields = fields
         self.store.put("op/config", configuration_with(3, REPLICAS))
         self.put_odd_entries()
@@ -121,7 +122,7 @@
 
     def put_odd_entries(self):
         for name in self.names:
-            self.store.put("servers/" + name, NO_ENTRY, **self.fields)
+            self.store.put("servers/" + name, self.value, **self.fields)
 
     def put_replica(self, replica, **fields):
         self.store.put("servers/" + replica.name, {**replica.entry(replica.name), **fields})
@@ -159,6 +160,12 @@
         return ""
 
 
+def unreadable_lines(node):
+    """Returns the keys of the entries that a node has logged as unreadable, as they are logged."""
+    lines = [line for line in node.log().split("\n") if " event=replica-unreadable " in line]
+    return [line.split(' key="', 1)[1].split('" reason="', 1)[0] for line in lines]
+
+
 def until(deadline, condition):
     while not condition():
         if time.monotonic() > deadline:
@@ -222,6 +229,88 @@
             rows.append((place, Site(names, page_items=page_items)))
         self.check_rows(rows)
 
+    def test_entry_is_logged_once(self):
+        names = ["a %d" % number for number in range(7)] + ["i-m\r\nevent=x \"\u6f22"]
+        site = self.start(Site(names))
+        self.assertEqual("", site.problem())
+        logged = ["servers/a %d" % number for number in range(7)]
+        logged.append("servers/i-m\\r\\nevent=x \\\"\\xe6\\xbc\\xa2")
+        self.assertEqual(logged, unreadable_lines(site.node))
+        for _ in range(3):
+            site.put_odd_entries()  # As a writer's heartbeats.
+            time.sleep(0.4)
+        for _ in range(2):
+            lost = site.node.log().count("event=store-lost")
+            site.store.mode = "busy"
+            wait_until(lambda: site.node.log().count("event=store-lost") >= lost + 2)
+            reached = site.node.log().count("event=store-reached")
+            site.store.mode = ""
+            wait_until(lambda: site.node.log().count("event=store-reached") >= reached + 2)
+        self.assertEqual(logged, unreadable_lines(site.node))
+        self.assertTrue(site.is_served_by(site.replicas[0]))
+        site.store.delete("servers/a 3")
+        time.sleep(1)
+        site.store.put("servers/a 3", NO_ENTRY)
+        wait_until(lambda: len(unreadable_lines(site.node)) > len(logged))
+        self.assertEqual([*logged, "servers/a 3"], unreadable_lines(site.node))
+
+    def test_entry_that_becomes_unreadable_names_no_replica_any_more(self):
+        for fields in [{}, {"Value": 7}, {"Value": "%%%"}]:
+            with self.subTest(row=fields):
+                site = self.start(Site(["a"]))
+                self.assertEqual("", site.problem())
+                first = site.replicas[0]
+                site.store.put("servers/" + first.name, NO_ENTRY, **fields)
+                wait_until(lambda: not site.is_served_by(first))
+                self.assertTrue(site.is_served_by(site.replicas[1]))
+                site.put_replica(first)
+                wait_until(lambda: site.is_served_by(first))
+                site.stop()
+
+    def test_nodes_without_the_store_learn_of_replicas_beside_odd_entries(self):
+        """Rows: names and values of the odd entries, together more than one message holds."""
+        rows = [
+            (odd_names("&b+c#d e%f\r\n\0\ud800"), NO_ENTRY),
+            (odd_names("n"), b"a" * 1_000_000),
+            (odd_names("n"), b'{"Service": "' + b"a" * 1_000_000 + b'"}'),
+        ]
+        unreachable = FakeStore()
+        unreachable.mode = "busy"
+        for names, value in rows:
+            with self.subTest(row=(names[0], value[:20])):
+                site = Site(names, page_items=1, value=value)
+                reader = Node("n0", site.store.address)
+                self.addCleanup(reader.stop)
+                reader.wait_ready()
+                site.node = Node("n1", unreachable.address, seed=reader.address)
+                self.addCleanup(site.node.stop)
+                site.started_at = time.monotonic()
+                self.assertEqual("", site.problem())
+                self.assertIn("event=news-from-peer", site.node.log())
+                self.assertEqual([], unreadable_lines(site.node))
+                reader.stop()
+                site.stop()
+
+    def test_other_keys_below_the_configuration_are_not_read(self):
+        other = configuration(99)
+        values = [other, NO_ENTRY, b"a" * 1_000_000]
+        for value in values:
+            with self.subTest(value=str(value)[:20]):
+                site = Site([])
+                parts = ["", "/", "2", " ", "&after=z", "#", "%", "\r\n", "\0", "\ud800"]
+                for part in parts[1:]:
+                    for number in range(4):
+                        site.store.put("op/config%s%d" % (part, number), value)
+                self.start(site)
+                self.assertEqual("", site.problem())
+                for part in parts[1:]:
+                    site.store.put("op/config" + part, value)
+                time.sleep(1)
+                self.assertTrue(site.is_served_by(site.replicas[2]))
+                self.assertEqual(4, site.node.read_metrics()["heatherfork_configuration_revision"])
+                self.assertEqual(2, site.node.log().count("event=routing "))
+                site.stop()
+
     def test_all_processes_start_anew_beside_an_odd_entry(self):
         site = Site(odd_names("&b+c#d e%f"))
         nodes = [Node("n0", site.store.address)]
--- a/tests/unit-store-copy.cpp
+++ b/tests/unit-store-copy.cpp
@@ -1,3 +1,4 @@
+#include "heatherfork/detail/relay/skipped_entries.h"
 #include "heatherfork/detail/relay/store_copy.h"
 #include "heatherfork/store_readers.h"
 
@@ -323,6 +324,37 @@
   STRCMP_EQUAL("a", copy.PageStartKey().c_str());
 }
 
+// Items of no use come as deletions, from ranges too.
+TEST(StoreCopy, DeletionsAreNotHeld)
+{
+  StoreCopy copy(Differs);
+  CHECK(copy.ApplyPage(
+    MakeAnswer(10, { { "a", "x,1", 4, false }, { "b", "", 9, true } })));
+  STRCMP_EQUAL("10: a=x,1", ToText(copy).c_str());
+  StoreUpdate update;
+  CHECK_FALSE(
+    copy.ApplyWatchAnswer(MakeAnswer(12, { { "c", "", 11, true } }), update));
+  CHECK(update.mItems.empty());
+  CHECK(
+    copy.ApplyWatchAnswer(MakeAnswer(14, { { "a", "", 13, true } }), update));
+  CHECK_TRUE(update.mItems.at(0).mIsDeleted);
+  STRCMP_EQUAL("14:", ToText(copy).c_str());
+}
+
+TEST(StoreCopy, LogsASkippedEntryOnce)
+{
+  relay::SkippedEntries entries(3);
+  CHECK_TRUE(entries.Add("a"));
+  CHECK_FALSE(entries.Add("a"));
+  CHECK_TRUE(entries.Add(std::string_view("\0", 1)));
+  CHECK_TRUE(entries.Add(""));
+  CHECK_FALSE(entries.Add("b")); // Too many.
+  entries.Remove("a");
+  entries.Remove("c");
+  CHECK_TRUE(entries.Add("b"));
+  CHECK_FALSE(entries.Add("a"));
+}
+
 TEST(StoreCopy, PagesOfTwoErasAreNotJoined)
 {
   StoreCopy copy(Differs);
