An entry that no call can be made with names no replica

What callers saw: entries that look like a replica's but for a name with line ends, an address that is none, or slots that no int holds, took part in the placement of their service's requests; with some 40 of them no request to the sound replica of that service was answered within 12 s. A name with line ends put fields, or a second request, into the head of a call to a replica.

Cause: ReadReplica looked at the types of five fields and at the state alone. It cut the prefix off a key without looking at it.

Change: the name must be a text that a header field can hold, the address an IP address and a port, the slots 1 to 1,000,000, "born" and "Phase" of their types if they are there; a value over 64 KiB is none, so that the list of replicas fits into a message to another node. The reason names what is wrong. Blanks inside, "&", "#", "%" and texts outside ASCII are allowed in names, as a call can hold them.

Evidence: relay-odd_entries, 41 such entries of a sound replica's service: on "no answer of i-desk"; now none of them gets a byte, each is logged. unit-platform has the rows. Its rows of valid entries had the address "a:1", which no call could reach; they have an IP address now, and the table is written by field, with all rows it had. Replicas of unusual names were used before as well: the test stays.

--- a/packages/relay/include/heatherfork/detail/relay/http_grammar.h
+++ b/packages/relay/include/heatherfork/detail/relay/http_grammar.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cctype>
 #include <string_view>
 
@@ -23,6 +24,18 @@
          aChar == 0x7f;
 }
 
+/// Whether the value of a field can hold a text as it is: it is not empty, has
+/// no tabs or control characters and no blank at either end.
+inline bool
+IsFieldText(std::string_view aText)
+{
+  const auto isAllowed = [](char aChar) {
+    return aChar != '\t' && !IsControl(aChar);
+  };
+  return !aText.empty() && aText.front() != ' ' && aText.back() != ' ' &&
+         std::all_of(aText.begin(), aText.end(), isAllowed);
+}
+
 /// Whether a response with this status answers a request, or precedes the one
 /// that does. No request asks to switch protocols, and nothing that follows
 /// such a response is HTTP.
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Tests that odd entries of the store, from other writers, stop nothing."""
 import contextlib
 import json
+import threading
 import time
 import unittest
 
@@ -84,6 +85,58 @@
 ]
 KEYLESS_ITEMS = [{"Key": None}, {"Key": 7}, {"Key": ["servers/a"]}, {"Key": {"Key": "servers/a"}}]
 
+# Names of entries that are a replica's but for their names, which no field of a call can hold.
+NO_FIELD_TEXTS = [
+    "",
+    " i",
+    "i ",
+    "i\t1",
+    "i-1\r\nKv-Hold: 1",
+    "i-1\r\n\r\nGET /x HTTP/1.1\r\n",
+    "i-1\n",
+    "i\r1",
+    "i\x001",
+    "i\x1b[2J",
+    "i\x7f",
+    "i\ud800",
+    "i\udcff",
+]
+
+# Names that a field of a call can hold.
+FIELD_TEXTS = ["i &+#%=?;:,\"'\\/<>z", "%0d%0a", "i-\u6f22\xe9", "event=x request=r1"]
+
+# Fields that make no replica of an entry.
+ODD_FIELDS = [
+    {"Service": 7},
+    {"Service": None},
+    {"Service": "unknown"},
+    {"Service": "unknown\r\nX: y"},
+    {"Address": None},
+    {"Address": 7},
+    {"Address": ""},
+    {"Address": "nowhere"},
+    {"Address": "localhost:80"},
+    {"Address": "127.0.0.1:0"},
+    {"Address": "127.0.0.1:65536"},
+    {"Address": "127.0.0.1:80\r\nX: y"},
+    {"Zone": 7},
+    {"Slots": "8"},
+    {"Slots": 0},
+    {"Slots": -(2**31)},
+    {"Slots": 2**31},
+    {"Slots": 2**32 + 8},
+    {"Slots": 10**30},
+    {"Slots": True},
+    {"State": "odd"},
+    {"State": 7},
+    {"State": "READY"},
+    {"Phase": "odd"},
+    {"Phase": 7},
+    {"born": "x"},
+    {"born": [1]},
+    {"More": "a" * 70_000},
+]
+
 # Before and after the replicas; with pages of three, first and last of a page, several in a row,
 # and two pages of nothing else.
 ODD_COUNTS = {"a": 7, "i-m": 4, "x": 2}
@@ -291,6 +344,50 @@
                 reader.stop()
                 site.stop()
 
+    def test_entry_that_names_no_replica_gets_no_request(self):
+        rows = [(name, {}) for name in NO_FIELD_TEXTS] + [("i-1", odd) for odd in ODD_FIELDS]
+        site = Site([], escapes=False)
+        traps = []
+        for number, (name, fields) in enumerate(rows):
+            trap = FakeReplica(name)
+            traps.append((name, fields, trap))
+            entry = {**trap.entry(REPLICAS[0]), **fields}
+            key = name if not fields else "t%d" % number
+            site.store.put("servers/" + key, entry)
+        self.start(site)
+        self.assertEqual("", site.problem())
+        requests = [
+            threading.Thread(target=site.node.send_request, args=("/%s/x" % REPLICAS[0], "r%d" % n))
+            for n in range(40)
+        ]
+        for request in requests:
+            request.start()
+        for request in requests:
+            request.join()
+        self.assertEqual([], [(name, odd, trap.raw) for name, odd, trap in traps if trap.raw])
+        # A service that has no route is no reason to skip an entry.
+        of_other_services = sum("unknown" in str(odd.get("Service")) for _, odd in rows)
+        self.assertEqual(len(rows) - of_other_services, len(unreadable_lines(site.node)))
+        replicas = site.node.read_metrics()["heatherfork_replicas"]
+        self.assertEqual(3 + of_other_services, replicas)
+
+    def test_replica_of_an_unusual_name_is_used(self):
+        site = Site(odd_names("n"))
+        names = dict(zip(FIELD_TEXTS, "abcd"))
+        replicas = []
+        value = configuration_with(3, [*REPLICAS, *names.values()])
+        site.store.put("op/config", value)
+        for name, service in names.items():
+            replica = FakeReplica(name)
+            site.store.put("servers/" + name, replica.entry(service))
+            replicas.append((service, replica))
+        self.start(site)
+        site.node.wait_ready()
+        for service, replica in replicas:
+            with self.subTest(row=replica.name):
+                wait_until(lambda: site.node.send_request("/%s/x" % service)[0] == 200)
+                self.assertEqual(replica.name, replica.received[0][0]["Target-Instance"])
+
     def test_other_keys_below_the_configuration_are_not_read(self):
         other = configuration(99)
         values = [other, NO_ENTRY, b"a" * 1_000_000]
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -3,6 +3,7 @@
 
 #include <cctype>
 #include <cstdio>
+#include <map>
 
 #include <CppUTest/TestHarness.h>
 
@@ -271,27 +272,127 @@
 {
   struct Row
   {
+    std::string mField; ///< Replaces, or adds, a field of a valid entry.
     std::string mValue;
     std::string mReason; ///< Empty if the entry is valid.
   };
+  const std::string kWrongType = "a field is missing or of another type";
+  const auto badAddress = [](const std::string& aText) {
+    return "address \"" + aText +
+           "\" is not an IP address and a port, such as \"10.0.0.1:8080\" or "
+           "\"[fd00::1]:8080\"";
+  };
   const Row kRows[] = {
-    { R"({"Service":"s","Address":"a:1","Zone":"z","Slots":4,"State":"ready"})",
-      "" },
-    { R"({"Service":"s","Address":"a:1","Zone":"z","Slots":4,"State":"draining","Phase":"decode"})",
-      "" },
-    { "\xff\x01", "no JSON" },
-    { R"({"Service":"s","Address":"a:1","Zone":"z","State":"ready"})",
-      "a field is missing or of another type" },
-    { R"({"Service":"s","Address":"a:1","Zone":"z","Slots":"4","State":"ready"})",
-      "a field is missing or of another type" },
-    { R"({"Service":"s","Address":"a:1","Zone":"z","Slots":4,"State":"odd"})",
-      "state \"odd\" is not known" },
+    { "State", R"("ready")", "" },
+    { "State", R"("draining")", "" },
+    { "State", R"("odd")", "state \"odd\" is not known" },
+    { "State", R"("")", "state \"\" is not known" },
+    { "State", "true", kWrongType },
+    { "State", "", kWrongType },
+    { "Phase", R"("decode")", "" },
+    { "Phase", "null", "" },
+    { "Phase", R"("odd")", "phase \"odd\" is not known" },
+    { "Phase", "7", kWrongType },
+    { "Slots", "1", "" },
+    { "Slots", "4.0", "" },
+    { "Slots", "1000000", "" },
+    { "Slots", "0", "0 slots are not 1 to 1000000" },
+    { "Slots", "-1", "-1 slots are not 1 to 1000000" },
+    { "Slots", "1000001", "1000001 slots are not 1 to 1000000" },
+    { "Slots", "4294967297", "4294967297 slots are not 1 to 1000000" },
+    { "Slots", "1e15", kWrongType },
+    { "Slots", R"("4")", kWrongType },
+    { "Slots", "[4]", kWrongType },
+    { "Slots", "null", kWrongType },
+    { "Slots", "", kWrongType },
+    { "born", "1700000000000", "" },
+    { "born", "null", "" },
+    { "born", R"("1")", kWrongType },
+    { "born", "{}", kWrongType },
+    { "Address", R"("10.0.0.1:65535")", "" },
+    { "Address", R"("")", badAddress("") },
+    { "Address", R"("10.0.0.1")", badAddress("10.0.0.1") },
+    { "Address", R"("10.0.0.1:0")", badAddress("10.0.0.1:0") },
+    { "Address", R"("10.0.0.1:65536")", badAddress("10.0.0.1:65536") },
+    { "Address", R"("a.example:1")", badAddress("a.example:1") },
+    { "Address", R"("10.0.0.1:1\r\nX: y")", badAddress("10.0.0.1:1\r\nX: y") },
+    { "Address", R"(" 10.0.0.1:1")", badAddress(" 10.0.0.1:1") },
+    { "Address", "7", kWrongType },
+    { "Service", "7", kWrongType },
+    { "Service", "", kWrongType },
+    { "Zone", "null", kWrongType },
+    { "Zone", "", kWrongType },
+    { "More", "{\"a\":[1,\"b\"]}", "" },
+    { "More", "1e999", "no JSON" },
+    { "More", "\"\xff\"", "no JSON" },
+    { "More", '"' + std::string(65536, 'a') + '"', "a value of 65621 bytes" },
   };
   for (const Row& row : kRows) {
+    std::map<std::string, std::string> fields{ { "Service", R"("s")" },
+                                               { "Address", R"("10.0.0.1:1")" },
+                                               { "Zone", R"("z")" },
+                                               { "Slots", "4" },
+                                               { "State", R"("ready")" } };
+    fields[row.mField] = row.mValue;
+    std::string text;
+    for (const auto& [name, value] : fields) {
+      if (!value.empty()) {
+        text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+      }
+    }
     std::string reason;
-    const auto replica = kWire.ReadReplica("servers/i-1", row.mValue, reason);
+    const auto replica = kWire.ReadReplica("servers/i-1", text + "}", reason);
+    STRCMP_EQUAL_TEXT(
+      row.mReason.c_str(), reason.c_str(), text.substr(0, 200).c_str());
     CHECK_EQUAL(row.mReason.empty(), replica.has_value());
-    STRCMP_EQUAL(row.mReason.c_str(), reason.c_str());
+  }
+  for (const std::string text : { "", "\xff\x01", "[]", "7", "null", "{}" }) {
+    std::string reason;
+    CHECK_FALSE(kWire.ReadReplica("servers/i-1", text, reason));
+    CHECK_FALSE(reason.empty());
+  }
+}
+
+// A replica's name stands in a field of each call to it.
+TEST(Platform, RejectsKeysThatNameNoReplica)
+{
+  struct Row
+  {
+    std::string mKey;
+    std::string mName; ///< Empty if it names no replica.
+  };
+  const Row kRows[] = {
+    { "servers/i-1", "i-1" },
+    { "servers/a b&c+d#e%f", "a b&c+d#e%f" },
+    { "servers/\xe6\xbc\xa2", "\xe6\xbc\xa2" },
+    { "servers/servers/a", "servers/a" },
+    { "servers/", "" },
+    { "servers", "" },
+    { "", "" },
+    { "op/config", "" },
+    { "Servers/i-1", "" },
+    { "servers/ i-1", "" },
+    { "servers/i-1 ", "" },
+    { "servers/i-1\t", "" },
+    { "servers/i\t1", "" },
+    { "servers/i-1\r\nX: y", "" },
+    { "servers/i-1\n", "" },
+    { "servers/i\r1", "" },
+    { std::string("servers/i\0", 10), "" },
+    { "servers/i\x1b[2J", "" },
+    { "servers/i\x7f", "" },
+  };
+  for (const Row& row : kRows) {
+    std::string reason;
+    const auto replica = kWire.ReadReplica(
+      row.mKey,
+      R"({"Service":"s","Address":"10.0.0.1:1","Zone":"z","Slots":4,"State":"ready"})",
+      reason);
+    STRCMP_EQUAL_TEXT(row.mName.c_str(),
+                      replica ? replica->mName.mValue.c_str() : "",
+                      row.mKey.c_str());
+    STRCMP_EQUAL(row.mName.empty() ? "the key names no replica" : "",
+                 reason.c_str());
   }
 }
 
