A cache id that no call can hold is none

What callers saw: nothing yet; a prefill replica whose answer named a KV cache handle with line ends would have put fields of its choice into the call of the decode replica, and the call that frees the handle would have been broken by a blank, "?", "#" or "%".

Cause: the handle was taken from the answer and written into the field and the path as it was.

Change: a handle that a field can't hold counts as missing, so the prefill has failed.

Not played with processes.

--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -709,3 +709,38 @@
     }
   }
 }
+
+// The id stands in a field of the next call, and in the path of the call that
+// frees it.
+TEST(Platform, RejectsCacheIdsThatNoCallCanHold)
+{
+  struct Row
+  {
+    std::string mBody;
+    std::string mId;
+    std::string mTarget; ///< Of the call that frees it.
+  };
+  const Row kRows[] = {
+    { R"({"KvHandle":"3fa09c41b7d5"})", "3fa09c41b7d5", "3fa09c41b7d5" },
+    { R"({"KvHandle":"a b?c#d%e"})", "a b?c#d%e", "a%20b%3Fc%23d%25e" },
+    { R"({"KvHandle":"\u6f22"})", "\xe6\xbc\xa2", "%E6%BC%A2" },
+    { R"({"KvHandle":""})", "", "" },
+    { R"({"KvHandle":" a"})", "", "" },
+    { R"({"KvHandle":"a\r\nKv-Hold: 1"})", "", "" },
+    { R"({"KvHandle":"a\u0007"})", "", "" },
+    { R"({"KvHandle":7})", "", "" },
+    { R"({"KvHandle":"\u0000"})", "", "" },
+    { R"(["KvHandle"])", "", "" },
+  };
+  for (const Row& row : kRows) {
+    const std::string id = kWire.ReadCacheId(row.mBody);
+    STRCMP_EQUAL_TEXT(row.mId.c_str(), id.c_str(), row.mBody.c_str());
+    if (!id.empty()) {
+      const std::string text = kWire.WriteFreeKv({ { "10.0.0.1:1" }, id });
+      const std::string expected =
+        "DELETE /heatherfork/kv-handle/" + row.mTarget +
+        " HTTP/1.1\r\nHost: 10.0.0.1:1\r\nContent-Length: 0\r\n\r\n";
+      STRCMP_EQUAL(expected.c_str(), text.c_str());
+    }
+  }
+}
