Names from outside stay within their value of a log line

What operators saw: an entry whose service held a line end wrote a line of its own choice into the log, and `heatherforkctl explain` would tell it as one of the node's. A name with blanks or "=" ran into the fields after it; bytes that are no text made the log none.

Cause: names of replicas and services were written as they are.

Change: LogValue quotes and escapes a name that is not plain; a line escapes every byte that is no printable ASCII, whoever wrote it. Plain names look as before.

Evidence: relay-odd_entries failed on with the line "time_ms=1 level=info node=n1 event=forged request=r1"; now it is part of the line of its entry, and `explain` does not show it. Names in metrics were escaped before (prometheus-cpp): a replica of an unusual name and its limit are found under its name; that check stays.

--- a/packages/core/include/heatherfork/detail/relay/relay_log.h
+++ b/packages/core/include/heatherfork/detail/relay/relay_log.h
@@ -38,4 +38,8 @@
                   const Replicas& aOld,
                   const Replicas& aNew);
 
+/// Logs that an answer named its replica as leaving.
+void
+LogReplicaLeaving(RelayContext& aContext, const ServerName& aServer);
+
 } // namespace heatherfork::detail
--- a/packages/core/src/relay/content_guard.cpp
+++ b/packages/core/src/relay/content_guard.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "heatherfork/detail/hash.h"
+#include "heatherfork/detail/relay/log_value.h"
 #include "heatherfork/detail/relay/relay_peers.h"
 #include "heatherfork/detail/scheduling/rendezvous.h"
 
@@ -207,10 +208,11 @@
   }
   if (!aEvent.mIsDown) {
     it->second.mIsAccepting = true;
-    aContext.Emit(RelayLogEntry{ "replica-accepts",
-                                 "",
-                                 "server=" + aEvent.mServer.mValue + " calls=" +
-                                   std::to_string(it->second.mCount) });
+    aContext.Emit(
+      RelayLogEntry{ "replica-accepts",
+                     "",
+                     "server=" + LogValue(aEvent.mServer.mValue) +
+                       " calls=" + std::to_string(it->second.mCount) });
     return;
   }
   const LostCalls lost = std::move(it->second);
@@ -276,7 +278,7 @@
   aContext.Emit(RelayLogEntry{
     "replica-crashed",
     "",
-    "server=" + aLost.mReplica.mName.mValue +
+    "server=" + LogValue(aLost.mReplica.mName.mValue) +
       " calls=" + std::to_string(aLost.mCount) + " suspects=" +
       std::to_string(suspects.size()) + " alone=" + std::to_string(alone) });
   if (record.mRequests.empty()) {
--- a/packages/core/src/relay/heard_limits.cpp
+++ b/packages/core/src/relay/heard_limits.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include "heatherfork/detail/relay/log_value.h"
+
 namespace heatherfork::detail {
 
 namespace {
@@ -33,9 +35,9 @@
       RelayLogEntry{ aRate ? "server-limit" : "server-limit-ended",
                      "",
                      absl::StrCat("server=",
-                                  aReplica.mName.mValue,
+                                  LogValue(aReplica.mName.mValue),
                                   " service=",
-                                  aReplica.mService.mValue,
+                                  LogValue(aReplica.mService.mValue),
                                   " per_second=",
                                   aRate ? aRate->PerSecond() : 0) });
   }
--- a/packages/core/src/relay/once_per_start.cpp
+++ b/packages/core/src/relay/once_per_start.cpp
@@ -1,5 +1,7 @@
 #include "heatherfork/detail/relay/once_per_start.h"
 
+#include "heatherfork/detail/relay/log_value.h"
+
 namespace heatherfork::detail {
 
 void
@@ -12,7 +14,7 @@
   if (isNew || it->second != aReplica.mStartedAt) {
     it->second = aReplica.mStartedAt;
     aContext.Emit(
-      RelayLogEntry{ aEvent, "", "server=" + aReplica.mName.mValue });
+      RelayLogEntry{ aEvent, "", "server=" + LogValue(aReplica.mName.mValue) });
   }
 }
 
--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -1,5 +1,7 @@
 #include "heatherfork/detail/relay/relay_log.h"
 
+#include "heatherfork/detail/relay/log_value.h"
+
 namespace heatherfork::detail {
 
 namespace {
@@ -133,8 +135,9 @@
   LogRequestEvent(aContext,
                   "sent",
                   aRequest,
-                  "stage=" + std::string(NameOf(aStage)) + " server=" +
-                    aServer.mValue + " address=" + replica->mAddress.mValue +
+                  "stage=" + std::string(NameOf(aStage)) +
+                    " server=" + LogValue(aServer.mValue) +
+                    " address=" + replica->mAddress.mValue +
                     " call=" + std::to_string(aRequest.mCalls));
   aContext.Emit(std::move(call));
 }
@@ -154,7 +157,8 @@
   RecordOutcome(aContext,
                 RelayOutcome::kBegan,
                 *request,
-                "server=" + request->mPlacement.mPlaced.mServer.mValue);
+                "server=" +
+                  LogValue(request->mPlacement.mPlaced.mServer.mValue));
 }
 
 void
@@ -362,7 +366,7 @@
   if (aRequest.mHasSentEvents) {
     AbortStream(aContext,
                 aRequest,
-                "server=" + server.mValue +
+                "server=" + LogValue(server.mValue) +
                   " events=" + std::to_string(aEnded.mEvents));
     return;
   }
--- a/packages/core/src/relay/relay_log.cpp
+++ b/packages/core/src/relay/relay_log.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "heatherfork/detail/relay/log_value.h"
+
 namespace heatherfork::detail {
 
 std::string
@@ -47,17 +49,24 @@
       aContext.Emit(
         RelayLogEntry{ "replica",
                        "",
-                       "server=" + replica.mName.mValue +
-                         " service=" + replica.mService.mValue +
+                       "server=" + LogValue(replica.mName.mValue) +
+                         " service=" + LogValue(replica.mService.mValue) +
                          " leaving=" + (replica.mLeaving ? "yes" : "no") });
     }
   }
   for (const Replica& replica : aOld) {
     if (FindReplica(aNew, replica.mName) == nullptr) {
-      aContext.Emit(
-        RelayLogEntry{ "replica-gone", "", "server=" + replica.mName.mValue });
+      aContext.Emit(RelayLogEntry{
+        "replica-gone", "", "server=" + LogValue(replica.mName.mValue) });
     }
   }
 }
 
+void
+LogReplicaLeaving(RelayContext& aContext, const ServerName& aServer)
+{
+  aContext.Emit(RelayLogEntry{
+    "replica-leaving", "", "server=" + LogValue(aServer.mValue) });
+}
+
 } // namespace heatherfork::detail
--- a/packages/core/src/relay/relay_reducer.cpp
+++ b/packages/core/src/relay/relay_reducer.cpp
@@ -286,8 +286,7 @@
   }
   const LeavingServer server{ replica->mName, replica->mStartedAt };
   if (mReplicaRegistry.MarkLeaving(aContext.Now(), server)) {
-    aContext.Emit(RelayLogEntry{
-      "replica-leaving", "", "server=" + server.mServer.mValue });
+    detail::LogReplicaLeaving(aContext, server.mServer);
     detail::SendToOthers(aContext, LeavingReport{ { server } });
     ApplyReplicas(aContext);
   }
--- a/packages/core/src/relay/server_backoffs.cpp
+++ b/packages/core/src/relay/server_backoffs.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "heatherfork/detail/relay/log_value.h"
+
 namespace heatherfork::detail {
 
 namespace {
@@ -35,7 +37,7 @@
     aContext.Emit(
       RelayLogEntry{ "server-backoff",
                      "",
-                     "server=" + aReplica.mName.mValue +
+                     "server=" + LogValue(aReplica.mName.mValue) +
                        " for_ms=" + std::to_string(ToMilliseconds(aBackoff)) });
   }
   return isNew;
--- a/packages/relay/src/line_log.cpp
+++ b/packages/relay/src/line_log.cpp
@@ -1,5 +1,6 @@
 #include "heatherfork/detail/relay/line_log.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <cstdio>
@@ -29,6 +30,31 @@
   return "";
 }
 
+bool
+IsPrintable(char aChar)
+{
+  return aChar >= ' ' && aChar < 0x7f;
+}
+
+// A line stays one line of ASCII, whatever names from outside it contains.
+void
+AppendEscaped(std::string& aLine, std::string_view aText)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  while (!aText.empty()) {
+    const auto end = std::find_if_not(aText.begin(), aText.end(), IsPrintable);
+    aLine.append(aText.begin(), end);
+    aText.remove_prefix(static_cast<std::size_t>(end - aText.begin()));
+    if (!aText.empty()) {
+      const auto byte = static_cast<unsigned char>(aText.front());
+      aLine.append("\\x");
+      aLine.push_back(kDigits[byte >> 4]);
+      aLine.push_back(kDigits[byte & 0x0f]);
+      aText.remove_prefix(1);
+    }
+  }
+}
+
 // Wall-clock time for readers of the log. Decisions use the steady clock.
 std::int64_t
 WallClockMilliseconds()
@@ -70,11 +96,11 @@
   mBuffer += aEvent;
   if (!aRequest.empty()) {
     mBuffer += " request=";
-    mBuffer += aRequest;
+    AppendEscaped(mBuffer, aRequest);
   }
   if (!aText.empty()) {
     mBuffer += ' ';
-    mBuffer += aText;
+    AppendEscaped(mBuffer, aText);
   }
   mBuffer += '\n';
 }
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -1,13 +1,14 @@
 """Tests that odd entries of the store, from other writers, stop nothing."""
 import contextlib
 import json
+import subprocess
 import threading
 import time
 import unittest
 
-from fake_replica import FakeReplica
+from fake_replica import FakeReplica, encode_response
 from fake_store import FakeStore
-from relay_nodes import Node, configuration, route, wait_until
+from relay_nodes import BUILD, Node, configuration, route, wait_until
 
 RECOVER_SECONDS = 12
 NODES_AT_ONCE = 16
@@ -105,12 +106,15 @@
 # Names that a field of a call can hold.
 FIELD_TEXTS = ["i &+#%=?;:,\"'\\/<>z", "%0d%0a", "i-\u6f22\xe9", "event=x request=r1"]
 
+# A service without a route, written like a line of the log.
+FORGED_LINE = "unknown\r\ntime_ms=1 level=info node=n1 event=forged request=r1 server=\u6f22"
+
 # Fields that make no replica of an entry.
 ODD_FIELDS = [
     {"Service": 7},
     {"Service": None},
     {"Service": "unknown"},
-    {"Service": "unknown\r\nX: y"},
+    {"Service": FORGED_LINE},
     {"Address": None},
     {"Address": 7},
     {"Address": ""},
@@ -150,6 +154,12 @@
     ]
 
 
+def answer_with_limit(connection, fields):
+    limit = "Server-Limit: 100\r\n"
+    connection.sendall(encode_response(200, b"answer", fields["Request-Id"], extra=limit))
+    return True
+
+
 def configuration_with(version, replicas):
     value = configuration(version)
     for name in replicas:
@@ -368,6 +378,15 @@
         # A service that has no route is no reason to skip an entry.
         of_other_services = sum("unknown" in str(odd.get("Service")) for _, odd in rows)
         self.assertEqual(len(rows) - of_other_services, len(unreadable_lines(site.node)))
+        for line in site.node.log().splitlines():
+            self.assertTrue(line.startswith("time_ms=") and line.isascii(), line)
+        story = subprocess.run(
+            [BUILD / "packages/ctl/heatherforkctl", "explain", "--log", site.node.log_path, "r1"],
+            capture_output=True,
+            check=True,
+        ).stdout.decode()
+        self.assertIn(" answered ", story)
+        self.assertNotIn(" forged", story)
         replicas = site.node.read_metrics()["heatherfork_replicas"]
         self.assertEqual(3 + of_other_services, replicas)
 
@@ -387,6 +406,11 @@
             with self.subTest(row=replica.name):
                 wait_until(lambda: site.node.send_request("/%s/x" % service)[0] == 200)
                 self.assertEqual(replica.name, replica.received[0][0]["Target-Instance"])
+                replica.faults = [answer_with_limit]
+                self.assertEqual(200, site.node.send_request("/%s/x" % service)[0])
+                escaped = replica.name.replace("\\", "\\\\").replace('"', '\\"')
+                metric = 'heatherfork_server_limit_per_second{server="%s"}' % escaped
+                wait_until(lambda: site.node.read_metrics().get(metric) == 100)
 
     def test_other_keys_below_the_configuration_are_not_read(self):
         other = configuration(99)
