A node pauses before each repeat of a call that the store has refused

What the operators saw: a store that refused the second page of a list (400, 429, 500, 503) got the calls again four times a second from each node, for as long as it did; one that answered 410 to a page or to each watch got them at every tick of the node. 570 nodes may make 3.5 calls a second each.

Cause: any page that was answered ended the run of failures, so that the pause stayed at its least; a lost history was followed by a new reading at once, however often. The store also counted as reached after the first page, which wrote two lines of the log for each attempt.

Change: a run of failures ends when the list has been read to its end or a watch is answered. The first reading after a lost history begins at once; further ones, with no watch answered since, wait as after failures do.

--- a/packages/relay/include/heatherfork/detail/relay/store_pacing.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_pacing.h
@@ -50,9 +50,15 @@
   /// Timeout of a call that may wait aWait for changes.
   Duration CallTimeout(Duration aWait) const { return aWait + mPace.mTimeout; }
 
+  /// Called for each page of a range, and after its last one.
   void OnPage(Instant aNow);
+  void OnRangeRead(Instant aNow);
+
   void OnWatchAnswer(Instant aNow);
-  void OnCompacted() { mNextAt = Instant{}; }
+
+  /// Called when the copy must be read again though the store answers. The
+  /// first time since a watch was answered, that is due at once.
+  void OnRestart(Instant aNow);
   void OnFailed(Instant aNow);
 
   /// Called for an update from a peer that is not older than the local copy.
@@ -71,10 +77,14 @@
 
   /// When the last answer of the store or update from a peer arrived.
   Instant LastUpdateAt() const { return mLastUpdateAt; }
+  /// Failed calls since the copy was last confirmed.
   int Failures() const { return mFailures; }
 
 private:
-  void OnAnswer(Instant aNow);
+  void MarkAnswering(Instant aNow);
+
+  /// The delay after a number of earlier failures in a row.
+  Duration RetryDelay(int aEarlier);
 
   StorePace mPace;
   std::mt19937_64 mRandom;
@@ -84,6 +94,7 @@
   Instant mLastUpdateAt;
   Instant mAnsweringSince{}; ///< Start of the current run of successful calls.
   int mFailures = 0;
+  int mRestarts = 0; ///< Since a watch was answered.
 };
 
 } // namespace heatherfork::relay
--- a/packages/relay/include/heatherfork/detail/relay/store_reader.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_reader.h
@@ -95,6 +95,10 @@
   void HandleFailure(const std::string& aReason);
   void MarkReachable(const char* aSource);
 
+  /// Starts a new range read. The call that shows the need for it has not
+  /// failed.
+  void ReadAgain();
+
   /// Turns items of no use into deletions.
   void DropUseless(std::vector<StoreItem>& aItems) const;
 
--- a/packages/relay/src/store_pacing.cpp
+++ b/packages/relay/src/store_pacing.cpp
@@ -40,25 +40,34 @@
 }
 
 void
-StorePacing::OnAnswer(Instant aNow)
+StorePacing::MarkAnswering(Instant aNow)
 {
   if (mAnsweringSince == Instant{}) {
     mAnsweringSince = aNow;
   }
-  OnPeerUpdate(aNow);
 }
 
+// Does not end a run of failures: the next page may be refused again.
 void
 StorePacing::OnPage(Instant aNow)
 {
-  OnAnswer(aNow);
+  MarkAnswering(aNow);
   mNextAt = aNow;
 }
 
+void
+StorePacing::OnRangeRead(Instant aNow)
+{
+  OnPage(aNow);
+  OnPeerUpdate(aNow);
+}
+
 void
 StorePacing::OnWatchAnswer(Instant aNow)
 {
-  OnAnswer(aNow);
+  MarkAnswering(aNow);
+  OnPeerUpdate(aNow);
+  mRestarts = 0;
   mNextAt = aNow + mPace.mPause;
 }
 
@@ -69,20 +78,31 @@
   mFailures = 0;
 }
 
-void
-StorePacing::OnFailed(Instant aNow)
+Duration
+StorePacing::RetryDelay(int aEarlier)
 {
-  mAnsweringSince = Instant{};
-  const int doublings = std::min(mFailures, kMaxDoublings);
+  const int doublings = std::min(aEarlier, kMaxDoublings);
   const Duration maxDelay =
     std::min(mPace.mRetryDelay * (1 << doublings), mPace.mMaxRetryDelay);
   // Half of the delay is random, so that nodes do not retry in lockstep.
-  const Duration wait =
-    maxDelay / 2 +
-    Duration(static_cast<std::int64_t>(
-      mRandom() % static_cast<std::uint64_t>(maxDelay.count() / 2 + 1)));
+  return maxDelay / 2 +
+         Duration(static_cast<std::int64_t>(
+           mRandom() % static_cast<std::uint64_t>(maxDelay.count() / 2 + 1)));
+}
+
+void
+StorePacing::OnRestart(Instant aNow)
+{
+  mNextAt = mRestarts == 0 ? aNow : aNow + RetryDelay(mRestarts - 1);
+  ++mRestarts;
+}
+
+void
+StorePacing::OnFailed(Instant aNow)
+{
+  mAnsweringSince = Instant{};
+  mNextAt = aNow + RetryDelay(mFailures);
   ++mFailures;
-  mNextAt = aNow + wait;
 }
 
 bool
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -194,6 +194,14 @@
   }
 }
 
+void
+StoreReader::ReadAgain()
+{
+  mIsCalling = false;
+  mCopy.Restart();
+  mPacing.OnRestart(SteadyNow());
+}
+
 void
 StoreReader::HandleAnswer(StoreAnswer aAnswer)
 {
@@ -201,9 +209,7 @@
     case StoreAnswer::Status::kOk:
       break;
     case StoreAnswer::Status::kCompacted:
-      mCopy.Restart();
-      mIsCalling = false;
-      mPacing.OnCompacted();
+      ReadAgain();
       return;
     case StoreAnswer::Status::kMissing:
     case StoreAnswer::Status::kRefused:
@@ -215,9 +221,7 @@
     case StoreCopy::AnswerFit::kFits:
       break;
     case StoreCopy::AnswerFit::kRestart:
-      mCopy.Restart();
-      mIsCalling = false;
-      mPacing.OnCompacted();
+      ReadAgain();
       return;
     case StoreCopy::AnswerFit::kStale:
       HandleFailure("answer of an earlier era than " +
@@ -230,9 +234,12 @@
   mIsCalling = false;
   const Instant now = SteadyNow();
   DropUseless(aAnswer.mItems);
-  MarkReachable("the store's answer");
   if (mCall.mKind == StoreCall::Kind::kRange) {
     mPacing.OnPage(now);
+    if (!aAnswer.mHasMore) {
+      mPacing.OnRangeRead(now);
+      MarkReachable("the store's answer");
+    }
     if (mCopy.ApplyPage(aAnswer)) {
       PublishItems();
     }
@@ -241,6 +248,7 @@
     }
     return;
   }
+  MarkReachable("the store's answer");
   mPacing.OnWatchAnswer(now);
   StoreUpdate update;
   if (mCopy.ApplyWatchAnswer(aAnswer, update)) {
--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -27,12 +27,16 @@
     Modes: "" (none), "busy" (503), "silent" (no answer), "reset".
     A call that isn't valid is answered 400 and noted in `refused`.
     `escapes` selects how texts are written: with escapes, or as their bytes.
+    `turned_away` selects calls and the status that they get: ("first page", 503), "next page",
+    "watch", all below the prefix of the replicas; their times are in `turned_away_at`.
     """
 
     def __init__(self, page_items=3, escapes=True):
         self.page_items = page_items
         self.escapes = escapes
         self.refused = []
+        self.turned_away = None
+        self.turned_away_at = []
         self.items = {}
         self.history = []  # (key, revision, event) of each change.
         self.written = {}  # What was written last under each key; None: deleted.
@@ -143,6 +147,13 @@
             return
         path, query = call
         prefix = query.get("PathPrefix", b"")
+        kind = "watch"
+        if path.endswith("/kv-range"):
+            kind = "next page" if "after" in query else "first page"
+        if self.turned_away and prefix == b"servers/" and kind == self.turned_away[0]:
+            self.turned_away_at.append(time.monotonic())
+            self.reply(handler, self.turned_away[1], {})
+            return
         if path.endswith("/kv-range"):
             self.reply(handler, 200, self.range(prefix, query.get("after", b"")))
         elif path.endswith("/kv-watch"):
--- a/tests/unit-store-pacing.cpp
+++ b/tests/unit-store-pacing.cpp
@@ -87,10 +87,44 @@
     CHECK(pacing.IsDue(now + Milliseconds(maxDelayMs), false));
     now += Milliseconds(maxDelayMs);
   }
-  pacing.OnPage(now);
+  pacing.OnRangeRead(now);
   CHECK_EQUAL(0, pacing.Failures());
 }
 
+// The first page of a list may be answered and the next one refused, again and
+// again.
+TEST(StorePacing, BacksOffWhenALaterPageFails)
+{
+  StorePacing pacing = MakePacing(true);
+  Instant now = kStart;
+  for (const int maxDelayMs : { 250, 500, 1000, 1500, 1500 }) {
+    pacing.OnPage(now);
+    pacing.OnFailed(now);
+    CHECK_FALSE(pacing.IsDue(now + Milliseconds(maxDelayMs / 2 - 1), false));
+    CHECK(pacing.IsDue(now + Milliseconds(maxDelayMs), false));
+    now += Milliseconds(maxDelayMs);
+  }
+}
+
+// A store that keeps no history answers each range and refuses each watch.
+TEST(StorePacing, BacksOffWhenWatchesAreRefusedAgain)
+{
+  StorePacing pacing = MakePacing(true);
+  Instant now = kStart;
+  for (int series = 0; series < 2; ++series) {
+    for (const int maxDelayMs : { 0, 250, 500, 1000, 1500, 1500 }) {
+      pacing.OnRestart(now);
+      const Instant earliest = now + Milliseconds(maxDelayMs / 2);
+      CHECK_FALSE(pacing.IsDue(earliest - Milliseconds(1), false));
+      CHECK(pacing.IsDue(now + Milliseconds(maxDelayMs), false));
+      now += Milliseconds(maxDelayMs);
+      pacing.OnPage(now);
+      pacing.OnRangeRead(now);
+    }
+    pacing.OnWatchAnswer(now);
+  }
+}
+
 // After a store outage expired entries are missing until they are written
 // again. Peers must not drop them meanwhile.
 TEST(StorePacing, UpdatesPeersOnlyAfterStoreIsStable)
