A VM's record that can't be read spoils no list of VMs

What operators saw: with one odd record in the list of VMs, none of the list was used: a backend server that another record marks as leaving got new requests, and new entry VMs were not asked for the fleet.

Cause: ReadVmList returned the error of the first invalid record.

Change: the record is skipped, with a line at debug level as for other faults of the list. A body without a list is still rejected.

The own interface alone reads this list.

--- a/packages/node/src/platform/platform_client.cpp
+++ b/packages/node/src/platform/platform_client.cpp
@@ -167,10 +167,13 @@
     const Object::Ptr item = vms->getObject(static_cast<unsigned>(n));
     auto vm = item.isNull() ? absl::InvalidArgumentError("expected an object")
                             : ReadVm(*item);
-    if (!vm.ok()) {
-      return vm.status();
+    if (vm.ok()) {
+      list.mVms.push_back(*std::move(vm));
+    } else {
+      // Skips an invalid record, so that it does not invalidate the others.
+      spdlog::debug(
+        "list of VMs: record {}: {}", n, std::string(vm.status().message()));
     }
-    list.mVms.push_back(*std::move(vm));
   }
   return list;
 }
