Numbers of a configuration don't wrap

The platform's store accepts only valid configurations, so no such incident is known.

Cause: 64-bit numbers were cast to int, or multiplied, as they came.

Change: a number out of the range 0 to 2^31-1 becomes the nearest one in it.

--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -417,6 +417,76 @@
   CHECK(kWire.ReadRouting("{}", reason) == nullptr);
 }
 
+// Parts that can't be read spoil none of the others.
+TEST(Platform, SkipsOddPartsOfAConfiguration)
+{
+  const std::string kRoute =
+    R"({"Name":"r","Host":"h","PathPrefix":"/p/","Kind":"stream","Service":"s"})";
+  const std::string kOddParts[] = {
+    "7",
+    "null",
+    "[]",
+    "{}",
+    R"("r")",
+    R"({"Name":"o","Host":7,"PathPrefix":"/p/","Kind":"stream","Service":"s"})",
+    R"({"Name":"o","Host":"h","PathPrefix":"/p/","Kind":"stream","Service":7})",
+    R"({"Name":"o","Host":"h","PathPrefix":"/p/","Kind":"stream","Backends":[7]})",
+  };
+  for (const std::string& odd : kOddParts) {
+    std::string reason;
+    const RoutingPtr routing = kWire.ReadRouting(
+      R"({"Version":7,"Routes":[)" + odd + "," + kRoute + "," + odd +
+        R"(],"Services":[)" + odd + R"(,{"Name":"s"}],"Limits":)" + odd + "}",
+      reason);
+    CHECK_TEXT(routing != nullptr, odd.c_str());
+    CHECK_EQUAL(1U, routing->mRoutes.size());
+    STRCMP_EQUAL("r", routing->mRoutes[0].mName.c_str());
+    STRCMP_EQUAL("s", routing->mServices.back().mName.mValue.c_str());
+    CHECK(routing->mLimits == CallerLimits{});
+  }
+}
+
+TEST(Platform, ClampsNumbersOfAConfiguration)
+{
+  constexpr int kMost = 2147483647;
+  struct Row
+  {
+    std::string mNumber;
+    int mExpected;
+  };
+  const Row kRows[] = {
+    { "7", 7 },
+    { "7.0", 7 },
+    { "0", 0 },
+    { "-1", 0 },
+    { "2147483647", kMost },
+    { "2147483648", kMost },
+    { "4294967303", kMost },
+    { "9223372036854775807", kMost },
+    { "-9223372036854775808", 0 },
+  };
+  for (const Row& row : kRows) {
+    const std::string& n = row.mNumber;
+    std::string reason;
+    const RoutingPtr routing = kWire.ReadRouting(
+      R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",)"
+      R"("Kind":"stream","Service":"s","TimeoutMs":)" +
+        n + R"(,"MaxAttempts":)" + n + R"(,"Priority":)" + n +
+        R"(}],"Services":[{"Name":"s","MaxConnections":)" + n +
+        R"(}],"Limits":{"MaxHeaderBytes":)" + n + R"(,"IdleTimeoutMs":)" + n +
+        "}}",
+      reason);
+    const Route& route = routing->mRoutes.at(0);
+    CHECK(route.mTimeout == Milliseconds(row.mExpected));
+    CHECK_EQUAL(row.mExpected, route.mMaxAttempts);
+    CHECK_EQUAL(row.mExpected, route.mRank);
+    CHECK_EQUAL(row.mExpected, routing->mServices.at(0).mMaxConnections);
+    CHECK_EQUAL(static_cast<std::size_t>(row.mExpected),
+                routing->mLimits.mMaxHeaderBytes);
+    CHECK(routing->mLimits.mIdleTimeout == Milliseconds(row.mExpected));
+  }
+}
+
 // Requests of different hosts go to different services: what is known of one is
 // not true of the other.
 TEST(Platform, FingerprintTellsRequestsApart)
