An unreadable configuration is logged once

What operators saw: after each loss of the store, and each other new reading, the same `routing-unreadable`.

Cause: it was logged at each publication of the item, changed or not.

Change: the store's revision of the item that was logged last is kept.

That the configuration before stays in force was so before.

--- a/packages/relay/include/heatherfork/detail/relay/store_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/store_watch.h
@@ -81,6 +81,7 @@
   Instant mNextChooseAt{};
   /// Of the routes that the copy holds; empty if they can't be read.
   std::optional<Revision> mHeldRouting;
+  std::optional<Revision> mUnreadableRouting; ///< Of the store; logged last.
   StoreReader mRouting;
   StoreReader mReplicas;
   SkippedEntries mSkippedEntries;
--- a/packages/relay/src/store_watch.cpp
+++ b/packages/relay/src/store_watch.cpp
@@ -146,7 +146,10 @@
   std::string reason;
   const RoutingPtr routing = mWire.ReadRouting(it->second.mValue, reason);
   if (routing == nullptr) {
-    mLog.Add(LogLevel::kWarning, "routing-unreadable", "", reason);
+    if (mUnreadableRouting != it->second.mRevision) {
+      mUnreadableRouting = it->second.mRevision;
+      mLog.Add(LogLevel::kWarning, "routing-unreadable", "", reason);
+    }
     return;
   }
   mHeldRouting = routing->mRevision;
--- a/tests/relay/test_odd_entries.py
+++ b/tests/relay/test_odd_entries.py
@@ -432,6 +432,23 @@
                 self.assertEqual(2, site.node.log().count("event=routing "))
                 site.stop()
 
+    def test_unreadable_configuration_leaves_the_one_before_in_force(self):
+        site = self.start(Site([]))
+        self.assertEqual("", site.problem())
+        values = [NO_ENTRY, {"Version": "5"}, {**configuration(5), "Routes": 7}]
+        for count, value in enumerate(values, 1):
+            site.store.put("op/config", value)
+            wait_until(lambda: site.node.log().count("event=routing-unreadable") == count)
+            reached = site.node.log().count("event=store-reached")
+            site.store.mode = "busy"
+            time.sleep(2)
+            site.store.mode = ""
+            wait_until(lambda: site.node.log().count("event=store-reached") >= reached + 2)
+            self.assertEqual(count, site.node.log().count("event=routing-unreadable"))
+            self.assertTrue(site.is_served_by(site.replicas[2]))
+        site.store.put("op/config", configuration_with(6, REPLICAS))
+        wait_until(lambda: site.node.send_request("/%s/x" % LATE_REPLICA)[0] == 404)
+
     def test_all_processes_start_anew_beside_an_odd_entry(self):
         site = Site(odd_names("&b+c#d e%f"))
         nodes = [Node("n0", site.store.address)]
