heatherforkctl prints no control characters from files

What operators saw: `check-routes` printed the names of a configuration, and `explain` the fields of a log, with their line ends and escape sequences: a name wrote lines of its own, or cleared the terminal.

Cause: texts of files were printed as they are. The own format's `check` and `diff` replace such bytes by "?".

Change: `check-routes` and `explain` do as well; other text stays, in any script.

--- a/packages/ctl/src/commands/check_routes_command.cpp
+++ b/packages/ctl/src/commands/check_routes_command.cpp
@@ -3,6 +3,7 @@
 
 #include "heatherfork/ctl/detail/commands.h"
 #include "heatherfork/ctl/detail/configuration_directory.h"
+#include "heatherfork/ctl/detail/printable.h"
 #include "heatherfork/detail/relay/check_routing.h"
 #include "heatherfork/relay_wire.h"
 
@@ -33,12 +34,12 @@
   }
   const auto mistakes = aConsole.mWire->CheckRoutingFields(*bytes);
   for (const std::string& mistake : mistakes) {
-    aConsole.mError << "error: " << mistake << '\n';
+    aConsole.mError << "error: " << Printable(mistake) << '\n';
   }
   std::string reason;
   const RoutingPtr routing = aConsole.mWire->ReadRouting(*bytes, reason);
   if (routing == nullptr && mistakes.empty()) {
-    aConsole.mError << "error: " << reason << '\n';
+    aConsole.mError << "error: " << Printable(reason) << '\n';
   }
   const bool isSound = routing != nullptr && mistakes.empty();
   return { routing, isSound ? ExitCode::kOk : ExitCode::kMistakes };
@@ -52,8 +53,8 @@
   for (const RoutingFinding& finding : CheckRouting(aRouting)) {
     const bool isError = finding.mKind == RoutingFinding::Kind::kError;
     hasError = hasError || isError;
-    aConsole.mError << (isError ? "error: " : "warning: ") << finding.mText
-                    << '\n';
+    aConsole.mError << (isError ? "error: " : "warning: ")
+                    << Printable(finding.mText) << '\n';
   }
   return hasError;
 }
@@ -67,7 +68,7 @@
 {
   const auto changes = DescribeRoutingChange(aInForce, aNext);
   for (const std::string& change : changes) {
-    aConsole.mOut << "  " << change << '\n';
+    aConsole.mOut << "  " << Printable(change) << '\n';
   }
   if (changes.empty()) {
     aConsole.mOut << "no change\n";
--- a/packages/ctl/src/request_timeline.cpp
+++ b/packages/ctl/src/request_timeline.cpp
@@ -7,6 +7,8 @@
 #include <ostream>
 #include <sstream>
 
+#include "heatherfork/ctl/detail/printable.h"
+
 namespace heatherfork::ctl::detail {
 
 namespace {
@@ -57,9 +59,10 @@
 PrintLine(std::ostream& aOut, const LogLine& aLine, std::int64_t aStartMs)
 {
   aOut << std::setw(8) << aLine.mTimeMs - aStartMs << " ms  "
-       << (aLine.mRequest.empty() ? "(meanwhile) " : "") << aLine.mEvent;
+       << (aLine.mRequest.empty() ? "(meanwhile) " : "")
+       << Printable(aLine.mEvent);
   if (!aLine.mFields.empty()) {
-    aOut << ' ' << aLine.mFields;
+    aOut << ' ' << Printable(aLine.mFields);
   }
   aOut << '\n';
 }
--- a/tests/unit-check-routes.cpp
+++ b/tests/unit-check-routes.cpp
@@ -131,6 +131,40 @@
   }
 }
 
+// Names come from files of other people.
+TEST(CheckRoutes, PrintsNoControlCharacters)
+{
+  struct Row
+  {
+    std::string mName; ///< As in JSON.
+    std::string mPrinted;
+  };
+  const Row kRows[] = {
+    { "r 1&2", "r 1&2" },
+    { "\xe6\xbc\xa2\xc3\xa9", "\xe6\xbc\xa2\xc3\xa9" },
+    { "r\\u001b[2J", "r?[2J" },
+    { "r\\r\\nerror: x", "r??error: x" },
+    { "r\\t\\u007f", "r??" },
+    { "r\\u009b2J", "r??2J" },
+    { "r\\u0080\\u009f\\u00a0", "r????\xc2\xa0" },
+  };
+  for (const Row& row : kRows) {
+    const File next(
+      With("\"Name\": \"r-1\"", "\"Name\": \"" + row.mName + "\""));
+    const File inForce(With("\"Version\": 7", "\"Version\": 6"));
+    const CommandResult changed = Run({ next.Path(), inForce.Path() });
+    STRCMP_EQUAL(("  route \"r-1\": removed\n  route \"" + row.mPrinted +
+                  "\": added\nsound: version 7\n")
+                   .c_str(),
+                 changed.mOut.c_str());
+    const File wrong(With("\"Name\": \"r-1\", \"Host\": \"h.example\"",
+                          "\"Name\": \"" + row.mName + "\""));
+    STRCMP_CONTAINS(
+      ("error: route \"" + row.mPrinted + "\": Host is missing\n").c_str(),
+      Run({ wrong.Path() }).mError.c_str());
+  }
+}
+
 TEST(CheckRoutes, GivesAVerdict)
 {
   struct Row
--- a/tests/unit-ctl-story.cpp
+++ b/tests/unit-ctl-story.cpp
@@ -56,6 +56,16 @@
 
 TEST_GROUP(RequestTimeline){};
 
+TEST(RequestTimeline, PrintsNoControlCharacters)
+{
+  std::istringstream log("time_ms=1 level=info node=a.1 event=x\x1b[2J "
+                         "request=r1 name=\x1b]\x7f\r\n");
+  std::map<std::string, detail::LogLines> nodes;
+  detail::ReadLog(log, nodes);
+  STRCMP_CONTAINS("  x?[2J name=?]??\n",
+                  detail::FormatTimeline(nodes, "r1").c_str());
+}
+
 TEST(RequestTimeline, PrintsRequestWithOtherEventsOfItsNode)
 {
   struct Row
