--- a/packages/core/src/relay/relay_calls.cpp
+++ b/packages/core/src/relay/relay_calls.cpp
@@ -421,7 +421,7 @@
   LogRequestEvent(aContext,
                   isGranted ? "again" : "budget-spent",
                   aRequest,
-                  "service=" + aRequest.mService.mValue +
+                  "service=" + LogValue(aRequest.mService.mValue) +
                     " share=" + std::to_string(aContext.mBudgetShare));
   return isGranted;
 }
--- a/packages/core/src/relay/relay_quota.cpp
+++ b/packages/core/src/relay/relay_quota.cpp
@@ -1,3 +1,4 @@
+#include "heatherfork/detail/relay/log_value.h"
 #include "heatherfork/detail/relay/relay_log.h"
 #include "heatherfork/detail/relay/relay_requests.h"
 
@@ -76,7 +77,7 @@
     std::string(aDecision.mVerdict == QuotaVerdict::kOverLimit
                   ? "verdict=over"
                   : "verdict=unconfirmed") +
-      " tenant=" + aRequest.mWorkspace.mValue +
+      " tenant=" + LogValue(aRequest.mWorkspace.mValue) +
       " units=" + std::to_string(aRequest.mQuotaTaken.mUnits) +
       " rate=" + std::to_string(quota == nullptr ? 0 : quota->mRate) +
       " burst=" + std::to_string(quota == nullptr ? 0 : quota->mBurst) +
--- a/packages/core/src/relay/relay_requests.cpp
+++ b/packages/core/src/relay/relay_requests.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "heatherfork/detail/relay/head_check.h"
+#include "heatherfork/detail/relay/log_value.h"
 #include "heatherfork/detail/relay/relay_log.h"
 
 namespace heatherfork::detail {
@@ -168,16 +169,18 @@
     route->mTimeout > Duration{} ? std::min(left, route->mTimeout) : left;
   open.mExpiresAt = aContext.Now() + allowed;
   mBudget.OnRequest(aContext.Now(), open.mService);
-  LogRequestEvent(
-    aContext,
-    "taken",
-    open,
-    "route=" + route->mName + " service=" + open.mService.mValue +
-      (open.mWorkspace.Empty() ? "" : " tenant=" + open.mWorkspace.mValue) +
-      " left_ms=" + std::to_string(ToMilliseconds(allowed)) +
-      " prompt=" + std::to_string(received.mPromptTokens) +
-      " most=" + std::to_string(received.mMaxTokens) +
-      " likely=" + std::to_string(received.mExpectedTokens));
+  LogRequestEvent(aContext,
+                  "taken",
+                  open,
+                  "route=" + LogValue(route->mName) +
+                    " service=" + LogValue(open.mService.mValue) +
+                    (open.mWorkspace.Empty()
+                       ? ""
+                       : " tenant=" + LogValue(open.mWorkspace.mValue)) +
+                    " left_ms=" + std::to_string(ToMilliseconds(allowed)) +
+                    " prompt=" + std::to_string(received.mPromptTokens) +
+                    " most=" + std::to_string(received.mMaxTokens) +
+                    " likely=" + std::to_string(received.mExpectedTokens));
   if (allowed <= Duration{}) {
     OnExpired(aContext, open);
     return;
--- a/tests/unit-check-routes.cpp
+++ b/tests/unit-check-routes.cpp
@@ -120,6 +120,8 @@
     { With("\"Name\": \"desk\", ", ""), "service number 1: Name is missing;" },
     { With("[\"first-key\"]", "[1]"),
       "workspace \"w-1\": a key is no string, or empty;" },
+    { With("\"w-1\"", "\"w \""),
+      "workspace \"w \": no field of a call can hold its name;" },
     { With("\"Unit\": \"requests\"", "\"Unit\": \"bytes\""),
       "workspace \"w-1\": Unit \"bytes\" is not known;" },
     { With("\"IdleTimeoutMs\": 15000", "\"IdleTimeoutMs\": null"),
--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -219,6 +219,11 @@
       R"([{"Name":""},{"ApiKeys":["k1"]},7,{"Name":"v","ApiKeys":[7]}])",
       true,
       { plain } },
+    { "names that no field of a call can hold",
+      R"([{"Name":"w\r\nKv-Hold: 1","ApiKeys":["k1"]},{"Name":" w"},)"
+      R"({"Name":"w\u007f"},{"Name":"w\t"},{"Name":"v"}])",
+      true,
+      { plain } },
   };
   for (const Row& row : kRows) {
     const std::string list =
