--- a/tests/unit-platform.cpp
+++ b/tests/unit-platform.cpp
@@ -1,4 +1,5 @@
 #include "heatherfork/configuration_document.h"
+#include "heatherfork/detail/text.h"
 #include "platform/wire.h"
 
 #include <cctype>
@@ -342,7 +343,8 @@
     std::string text;
     for (const auto& [name, value] : fields) {
       if (!value.empty()) {
-        text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+        text.append(text.empty() ? "{\"" : ",\"").append(name);
+        text.append("\":").append(value);
       }
     }
     std::string reason;
@@ -439,10 +441,18 @@
   };
   for (const std::string& odd : kOddParts) {
     std::string reason;
-    const RoutingPtr routing = kWire.ReadRouting(
-      R"({"Version":7,"Routes":[)" + odd + "," + kRoute + "," + odd +
-        R"(],"Services":[)" + odd + R"(,{"Name":"s"}],"Limits":)" + odd + "}",
-      reason);
+    const std::string text = detail::Concat(R"({"Version":7,"Routes":[)",
+                                            odd,
+                                            ",",
+                                            kRoute,
+                                            ",",
+                                            odd,
+                                            R"(],"Services":[)",
+                                            odd,
+                                            R"(,{"Name":"s"}],"Limits":)",
+                                            odd,
+                                            "}");
+    const RoutingPtr routing = kWire.ReadRouting(text, reason);
     CHECK_TEXT(routing != nullptr, odd.c_str());
     CHECK_EQUAL(1U, routing->mRoutes.size());
     STRCMP_EQUAL("r", routing->mRoutes[0].mName.c_str());
@@ -473,14 +483,22 @@
   for (const Row& row : kRows) {
     const std::string& n = row.mNumber;
     std::string reason;
-    const RoutingPtr routing = kWire.ReadRouting(
-      R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",)"
-      R"("Kind":"stream","Service":"s","TimeoutMs":)" +
-        n + R"(,"MaxAttempts":)" + n + R"(,"Priority":)" + n +
-        R"(}],"Services":[{"Name":"s","MaxConnections":)" + n +
-        R"(}],"Limits":{"MaxHeaderBytes":)" + n + R"(,"IdleTimeoutMs":)" + n +
-        "}}",
-      reason);
+    const std::string text = detail::Concat(
+      R"({"Version":7,"Routes":[{"Name":"r","Host":"h","PathPrefix":"/p/",)",
+      R"("Kind":"stream","Service":"s","TimeoutMs":)",
+      n,
+      R"(,"MaxAttempts":)",
+      n,
+      R"(,"Priority":)",
+      n,
+      R"(}],"Services":[{"Name":"s","MaxConnections":)",
+      n,
+      R"(}],"Limits":{"MaxHeaderBytes":)",
+      n,
+      R"(,"IdleTimeoutMs":)",
+      n,
+      "}}");
+    const RoutingPtr routing = kWire.ReadRouting(text, reason);
     const Route& route = routing->mRoutes.at(0);
     CHECK(route.mTimeout == Milliseconds(row.mExpected));
     CHECK_EQUAL(row.mExpected, route.mMaxAttempts);
