--- a/packages/core/src/json/split.cpp
+++ b/packages/core/src/json/split.cpp
@@ -197,7 +197,7 @@
 // Appends the character of the escape at the front of a text, and returns the
 // escape's length.
 std::size_t
-AppendEscaped(Piece aText, std::string& aOut)
+AppendUnescaped(Piece aText, std::string& aOut)
 {
   constexpr std::size_t kUnitLength = 6;
   if (const auto unit = ReadCodeUnit(aText)) {
@@ -251,7 +251,7 @@
       left.remove_prefix(1);
       continue;
     }
-    left.remove_prefix(AppendEscaped(left, text));
+    left.remove_prefix(AppendUnescaped(left, text));
   }
   return text;
 }
--- a/packages/relay/src/line_log.cpp
+++ b/packages/relay/src/line_log.cpp
@@ -38,7 +38,7 @@
 
 // A line stays one line of ASCII, whatever names from outside it contains.
 void
-AppendEscaped(std::string& aLine, std::string_view aText)
+AppendPrintable(std::string& aLine, std::string_view aText)
 {
   constexpr std::string_view kDigits = "0123456789abcdef";
   while (!aText.empty()) {
@@ -96,11 +96,11 @@
   mBuffer += aEvent;
   if (!aRequest.empty()) {
     mBuffer += " request=";
-    AppendEscaped(mBuffer, aRequest);
+    AppendPrintable(mBuffer, aRequest);
   }
   if (!aText.empty()) {
     mBuffer += ' ';
-    AppendEscaped(mBuffer, aText);
+    AppendPrintable(mBuffer, aText);
   }
   mBuffer += '\n';
 }
