--- a/review/common3/site3.py
+++ b/review/common3/site3.py
@@ -10,6 +10,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -25,6 +26,7 @@
 HOST = "ficu95.example"
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.2
+CRASH_S = 2.5  # "the replica is back after some seconds"
 BOUNDS = {
     "DrainMs": 2000,
     "GraceS": 8,
@@ -133,10 +135,18 @@
         self.places = threading.Semaphore(slots)
         self.arrived = []  # (time, request id, stage)
         self.ended = False
+        self.is_down = False
+        self.crashes_on = None  # A part of a prompt, as in its Prompt-Prefix.
+        self.crashes = []  # (time, request id)
         self.connections = set()
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
+        self.port = 0
+        self.listen()
+        self.address = "127.0.0.1:%d" % self.port
+
+    def listen(self):
+        self.listener = socket.create_server(("127.0.0.1", self.port), backlog=512)
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, args=(self.listener,), daemon=True).start()
 
     def publish(self):
         self.sequence += 1
@@ -160,6 +170,7 @@
         """Exits as after a planned shutdown: its entry goes, its connections close."""
         self.ended = True
         self.site.store.delete("servers/" + self.name)
+        self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         with self.lock:
             connections = list(self.connections)
@@ -169,10 +180,44 @@
             except OSError:
                 pass
 
-    def accept(self):
+    def crash(self, request_id, down_s):
+        """Sends nothing more; is back after some seconds under its id, with a new start."""
+        with self.lock:
+            if self.is_down:
+                return
+            self.is_down = True
+            connections = list(self.connections)
+        self.crashes.append((time.monotonic(), request_id))
+        self.site.record.add("crashes", self.name, "on", request_id)
+        self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in connections:
+            try:
+                connection.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+                )
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+        threading.Timer(down_s, self.come_back).start()
+
+    def come_back(self):
+        if self.site.is_over.is_set():
+            return
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.places = threading.Semaphore(self.slots)
+        with self.lock:
+            self.inside = 0
+            self.is_down = False
+        self.listen()
+        self.publish()
+        self.site.record.add("is back", self.name)
+
+    def accept(self, listener):
         while not self.ended:
             try:
-                connection, _ = self.listener.accept()
+                connection, _ = listener.accept()
             except OSError:
                 return
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -250,7 +295,7 @@
                 self.run(connection, request_id, stage, fields)
         finally:
             with self.lock:
-                self.inside -= 1
+                self.inside = max(0, self.inside - 1)
 
     def run(self, connection, request_id, stage, fields):
         if stage == "prefill":
@@ -274,6 +319,10 @@
         head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         connection.sendall(head.encode())
         first = int(fields.get("last-event-id", 0)) + 1
+        parts = [part.split(":")[0] for part in fields.get("prompt-prefix", "").split(",")]
+        if self.crashes_on and self.crashes_on in parts:
+            self.crash(request_id, CRASH_S)
+            return
         for number in range(first, self.events + 1):
             time.sleep(self.gap_s)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
@@ -388,7 +437,7 @@
     def beat(self):
         while not self.is_over.wait(HEARTBEAT_S):
             for replica in self.replicas:
-                if not replica.ended:
+                if not replica.ended and not replica.is_down:
                     replica.publish()
 
     def watch_memory(self):
