--- a/review/common3/site3.py
+++ b/review/common3/site3.py
@@ -316,6 +316,7 @@
     def stream(self, connection, request_id, fields):
         head = "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n" % request_id
         head += "Response-Signature: s.%s.%s\r\n" % (self.name, request_id)
+        head += "Weight-Versions: 1\r\n"
         head += "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         connection.sendall(head.encode())
         first = int(fields.get("last-event-id", 0)) + 1
