A peer that pauses its reading is not taken for one that is gone

Cause: TCP_USER_TIMEOUT of 2,000 ms on every connection. Linux counts it from the last progress, also while the peer answers each probe of its closed window, so the kernel ended connections whose peer was there.

Change: while bytes are unacknowledged the program asks the kernel for the peer's last reply (TCP_INFO) and raises the timeout by the time that the peer has answered for. A peer without a reply for 2 s is gone ("caller-silent", "call-silent"); one that replies without reading is paused ("caller-paused", "call-paused"), until its request's deadline ("caller-slow reason=deadline"). Large answers wait in the process rather than in the kernel. The idle and linger timeouts begin once all is acknowledged.

--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -5,6 +5,7 @@
 #include <limits>
 #include <memory>
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include <absl/status/status.h>
@@ -12,8 +13,10 @@
 #include "heatherfork/detail/relay/body_intake.h"
 #include "heatherfork/detail/relay/caller_output.h"
 #include "heatherfork/detail/relay/caller_response.h"
+#include "heatherfork/detail/relay/delivery_watch.h"
 #include "heatherfork/detail/relay/http_message.h"
 #include "heatherfork/detail/relay/io_loop.h"
+#include "heatherfork/detail/relay/reader_report.h"
 #include "heatherfork/ids.h"
 #include "heatherfork/routing.h"
 
@@ -50,6 +53,10 @@
   /// Called when the connection ends before its response, whoever closed it,
   /// unless the response was aborted.
   virtual void OnDisconnect(const CallerConnection& aConnection) = 0;
+
+  /// Called when a caller pauses its reading, and before its connection is
+  /// closed for that.
+  virtual void OnReader(const ReaderReport& /*aReport*/) {}
 };
 
 /// One HTTP connection of a caller; answers one request at a time. Its port and
@@ -74,26 +81,30 @@
   bool IsClosed() const { return mDescriptor < 0; }
 
   /// Whether a request or an answer is on its way.
-  bool IsBusy() const
-  {
-    return mDescriptor >= 0 && (mIsAnswering || !mOutput.IsEmpty() ||
-                                (mReader.HasBegun() && !mClosesAfterWrite));
-  }
+  bool IsBusy() const;
 
   /// Closes the connection unless a request has arrived on it.
   void CloseIfIdle();
 
-  /// Whether it may be closed for another one: no request is being answered.
-  bool IsReplaceable() const { return mDescriptor >= 0 && !mIsAnswering; }
+  /// Whether it may be closed for another one: no request is being answered,
+  /// or its caller has paused.
+  bool IsReplaceable() const
+  {
+    return mDescriptor >= 0 && (!mIsAnswering || IsPaused());
+  }
 
   /// Orders replaceable connections: the first is closed first.
   auto ReplacementOrder() const
   {
-    return std::pair(mReader.HasBegun() || !mOutput.IsEmpty(), LastActiveAt());
+    return std::tuple(
+      mIsAnswering, mReader.HasBegun() || HasUnread(), LastActiveAt());
   }
 
-  /// Closes the connection at once.
-  void Close() { End(); }
+  /// Whether the caller is there but has stopped reading.
+  bool IsPaused() const { return mDescriptor >= 0 && mDelivery.IsPaused(); }
+
+  /// Closes the connection at once, for another one.
+  void Replace();
 
   /// Checks the timeouts.
   void OnTimer(Instant aNow);
@@ -108,8 +119,13 @@
   void Send(BudgetedText aBody);
   void Finish(bool aKeepOpen);
   void Abort();
+  void SetRequest(std::string aId, Instant aReadUntil);
   bool WantsClose() const { return mWantsClose; }
   bool IsIdle() const { return !mIsAnswering && !mReader.HasBegun(); }
+  bool HasUnread() const
+  {
+    return !mOutput.IsEmpty() || mDelivery.IsUndelivered();
+  }
   Instant LastActiveAt() const { return std::max(mPeriodStart, mWrittenAt); }
 
   void ReadAll();
@@ -124,6 +140,9 @@
   void Write();
   void Cut();
   void End();
+  void BeginAnswer();
+  void CheckDelivery(Instant aNow);
+  void Report(ReaderEvent aEvent, Instant aNow);
   void UpdateInterest();
 
   IoLoop& mLoop;
@@ -148,6 +167,10 @@
   bool mHasSentContinue = false;
   Instant mPeriodStart{}; ///< Start of the request or idle period.
   Instant mWrittenAt{};   ///< When the socket last accepted bytes.
+  DeliveryWatch mDelivery;
+  std::string mRequestId;      ///< Of the request last answered.
+  Instant mReadUntil{};        ///< The caller may pause until then.
+  Instant mEarlierReadUntil{}; ///< For earlier answers that are unread.
 };
 
 /// A listening port and its connections.
@@ -173,6 +196,9 @@
   /// Closes connections that have no request in progress.
   void CloseIdle();
 
+  /// Callers that have stopped reading.
+  std::size_t PausedReaders() const;
+
   /// Whether a request or an answer is on its way at any connection.
   bool IsBusy() const;
 
--- a/packages/relay/include/heatherfork/detail/relay/caller_response.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_response.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <cstddef>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "heatherfork/detail/relay/answer_limits.h"
+#include "heatherfork/time.h"
 
 /// Response to one request.
 namespace heatherfork::relay {
@@ -21,6 +24,9 @@
   CallerResponse& operator=(CallerResponse&&) = delete;
   ~CallerResponse();
 
+  /// Names the request. Its caller may pause its reading until aReadUntil.
+  void SetRequest(std::string aId, Instant aReadUntil);
+
   /// Sends a part of the response. Disconnects a caller that leaves too much
   /// unread.
   void Send(std::string_view aBytes);
--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -86,6 +86,7 @@
   bool IsStreamCut() const;
   /// Returns false if the replica sends no events but other bytes.
   bool ForwardEvents();
+  void CheckServerConnection(Instant aNow);
   void PauseIfTooFast(std::size_t aBytes, int aEvents);
   void SendHead(std::optional<std::size_t> aLength);
   bool ShouldKeepOpen() const;
--- a/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_metrics.h
@@ -43,6 +43,7 @@
   void SetDroppedLines(std::uint64_t aCount);
   void SetMemory(const std::string& aPart, std::size_t aBytes);
   void SetWaitingBodies(std::size_t aCount);
+  void SetPausedReaders(std::size_t aCount);
 
   /// Returns all metrics in the Prometheus text format.
   std::string Serialize() const;
@@ -76,13 +77,15 @@
   prometheus::Gauge& mDroppedLines;
   prometheus::Family<prometheus::Gauge>& mMemory;
   prometheus::Gauge& mWaitingBodies;
+  prometheus::Gauge& mPausedReaders;
 };
 
 /// Answers GET /metrics, and 404 to other requests.
 class MetricsListener final : public RequestListener
 {
 public:
-  explicit MetricsListener(std::function<std::string()> aGetMetrics);
+  MetricsListener(std::function<std::string()> aGetMetrics,
+                  std::function<void(const ReaderReport&)> aOnReader);
 
   void OnRequest(CallerResponse aResponse,
                  const HttpHead& aHead,
@@ -92,9 +95,11 @@
                        const HttpHead& aHead) override;
   void OnBadRequest(CallerResponse aResponse, int aStatus) override;
   void OnDisconnect(const CallerConnection& aConnection) override;
+  void OnReader(const ReaderReport& aReport) override { mOnReader(aReport); }
 
 private:
   std::function<std::string()> mGetMetrics;
+  std::function<void(const ReaderReport&)> mOnReader;
 };
 
 } // namespace heatherfork::relay
--- a/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
+++ b/packages/relay/include/heatherfork/detail/relay/relay_node_state.h
@@ -47,6 +47,7 @@
                        const relay::HttpHead& aHead) override;
   void OnBadRequest(relay::CallerResponse aResponse, int aStatus) override;
   void OnDisconnect(const relay::CallerConnection& aConnection) override;
+  void OnReader(const relay::ReaderReport& aReport) override;
 
   void OnMessage(const NodeId& aFrom, PeerMessage aMessage) override;
   void OnPeerLost(const NodeId& aPeer) override;
--- a/packages/relay/include/heatherfork/detail/relay/server_connection.h
+++ b/packages/relay/include/heatherfork/detail/relay/server_connection.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "heatherfork/detail/relay/delivery_watch.h"
 #include "heatherfork/detail/relay/http_message.h"
 #include "heatherfork/detail/relay/io_loop.h"
 #include "heatherfork/detail/relay/sockets.h"
@@ -22,6 +23,7 @@
   std::string mReason;
   bool mMayHaveSent = false;      ///< Some bytes of the request were received.
   bool mIsConnectionLost = false; ///< Closed or reset by the other side.
+  bool mIsSilent = false; ///< The other machine does not answer any more.
 };
 
 /// Body of a request, shared by the calls that it is sent with; may be null.
@@ -77,6 +79,14 @@
   void ResumeReading();
   bool IsReadingPaused() const { return mIsReadingPaused; }
 
+  /// Fails the exchange if the other machine does not answer any more. Called
+  /// several times a second during an exchange, as otherwise a pause of the
+  /// other side's reading ends the connection.
+  void OnTimer(Instant aNow);
+
+  /// Whether the other side answers but has stopped reading.
+  bool IsPeerPaused() const { return mDescriptor >= 0 && mDelivery.IsPaused(); }
+
   /// Whether the connection can run another exchange.
   bool CanBeReused() const;
 
@@ -99,6 +109,7 @@
 
 private:
   void Fail(const std::string& aReason);
+  void FailSilent();
   void FailLater(const std::string& aReason);
   bool HasUnwritten() const;
   IoResult WriteParts();
@@ -132,6 +143,8 @@
   bool mIsReadingPaused = false;
   bool mIsReset = false; ///< Found by a write; a read finds only an end.
   Duration mIdleTimeout;
+  DeliveryWatch mDelivery;
+  bool mIsSilent = false;
   ExchangeListener* mListener = nullptr;
   std::function<void(ServerConnection&)> mOnIdleEnd;
   /// False after destruction: listeners may destroy the connection.
--- a/packages/relay/include/heatherfork/detail/relay/sockets.h
+++ b/packages/relay/include/heatherfork/detail/relay/sockets.h
@@ -5,6 +5,7 @@
 #include <absl/status/status.h>
 
 #include "heatherfork/ids.h"
+#include "heatherfork/time.h"
 
 /// Non-blocking TCP sockets.
 namespace heatherfork::relay {
@@ -20,11 +21,16 @@
 int
 BeginConnect(const Address& aAddress);
 
-/// Sets the socket options of every connection: no delay, and a timeout for
-/// unacknowledged data.
+/// Sets the socket options of every connection: no delay, a limit of unsent
+/// bytes, and a limit of the peer's silence.
 void
 SetUpConnection(int aDescriptor);
 
+/// Sets how long the kernel keeps a connection whose peer does not acknowledge
+/// what it was sent, even if it answers otherwise.
+void
+SetKernelTimeout(int aDescriptor, Duration aTimeout);
+
 /// Accepts a connection. Returns -1 if none is pending.
 int
 Accept(int aListener);
@@ -37,6 +43,14 @@
 bool
 IsRefused(int aDescriptor);
 
+/// Bytes that were written and that the peer has not acknowledged.
+std::size_t
+UnacknowledgedBytes(int aDescriptor);
+
+/// Returns an empty text if the connection has ended.
+std::string
+PeerAddress(int aDescriptor);
+
 /// Result of a read or write.
 enum class IoResult
 {
@@ -44,8 +58,16 @@
   kWouldBlock,
   kEnd,
   kFailed,
+  kSilent, ///< The peer has stopped answering; its machine may be gone.
 };
 
+/// Whether the connection can't be used any more.
+constexpr bool
+IsLost(IoResult aResult)
+{
+  return aResult == IoResult::kFailed || aResult == IoResult::kSilent;
+}
+
 /// Reads at most once and appends the bytes to aBuffer.
 IoResult
 ReadSome(int aDescriptor, std::string& aBuffer);
--- a/packages/relay/src/caller_body.cpp
+++ b/packages/relay/src/caller_body.cpp
@@ -29,7 +29,7 @@
     return AskForRoom(mBody.size());
   }
   if (!mListener.NeedsBody(head)) {
-    mIsAnswering = true;
+    BeginAnswer();
     mWantsClose = true;
     mIsUnread = true;
     FreeText(mBody);
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -91,6 +91,88 @@
   }
 }
 
+bool
+CallerConnection::IsBusy() const
+{
+  if (mDescriptor < 0) {
+    return false;
+  }
+  if (mIsAnswering || !mOutput.IsEmpty() ||
+      (mReader.HasBegun() && !mClosesAfterWrite)) {
+    return true;
+  }
+  const auto state =
+    mDelivery.IsUndelivered() ? ReadSendState(mDescriptor) : std::nullopt;
+  return state && state->mHasUnacknowledged;
+}
+
+void
+CallerConnection::Replace()
+{
+  if (IsPaused()) {
+    Report(ReaderEvent::kNoRoom, SteadyNow());
+  }
+  End();
+}
+
+void
+CallerConnection::BeginAnswer()
+{
+  const Instant now = SteadyNow();
+  mIsAnswering = true;
+  mRequestId.clear();
+  mEarlierReadUntil = mDelivery.IsUndelivered() ? mReadUntil : Instant{};
+  mReadUntil = std::max(mEarlierReadUntil, now + mLimits.mIdleTimeout);
+}
+
+void
+CallerConnection::SetRequest(std::string aId, Instant aReadUntil)
+{
+  mRequestId = std::move(aId);
+  mReadUntil = std::max(mEarlierReadUntil, aReadUntil);
+}
+
+// A connection without a request has nothing to report.
+void
+CallerConnection::Report(ReaderEvent aEvent, Instant aNow)
+{
+  if (IsIdle() && !HasUnread()) {
+    return;
+  }
+  mListener.OnReader({ aEvent,
+                       mRequestId,
+                       PeerAddress(mDescriptor),
+                       mOutput.Size() + UnacknowledgedBytes(mDescriptor),
+                       mDelivery.WithoutProgress(aNow) });
+}
+
+// A peer that has stopped answering ends the connection, also while its request
+// is being answered. One that has paused may stay until its request's deadline;
+// a request that is still being answered ends by itself.
+void
+CallerConnection::CheckDelivery(Instant aNow)
+{
+  const bool wasPaused = mDelivery.IsPaused();
+  switch (mDelivery.Check(mDescriptor, aNow)) {
+    case DeliveryState::kDelivered:
+    case DeliveryState::kUnderWay:
+      return;
+    case DeliveryState::kSilent:
+      Report(ReaderEvent::kSilent, aNow);
+      End();
+      return;
+    case DeliveryState::kPaused:
+      break;
+  }
+  if (!wasPaused) {
+    Report(ReaderEvent::kPaused, aNow);
+  }
+  if (!mIsAnswering && aNow >= mReadUntil) {
+    Report(ReaderEvent::kTooLate, aNow);
+    End();
+  }
+}
+
 // Called while the listener writes the response, so it can't be notified here.
 // The loop or the timer ends the connection next.
 void
@@ -138,6 +220,9 @@
       break;
     }
     if (result != IoResult::kOk) {
+      if (result == IoResult::kSilent) {
+        Report(ReaderEvent::kSilent, SteadyNow());
+      }
       End();
       return;
     }
@@ -199,7 +284,7 @@
     body.swap(mBody);
     mReader.Reset();
     mHasSentContinue = false;
-    mIsAnswering = true;
+    BeginAnswer();
     mWantsClose = !head.mKeepAlive;
     mListener.OnRequest(
       CallerResponse(shared_from_this()), head, std::move(body));
@@ -210,7 +295,7 @@
 CallerConnection::Reject(int aStatus)
 {
   EndBody();
-  mIsAnswering = true;
+  BeginAnswer();
   mWantsClose = true;
   mListener.OnBadRequest(CallerResponse(shared_from_this()), aStatus);
 }
@@ -237,13 +322,17 @@
 CallerConnection::Write()
 {
   const std::size_t before = mOutput.Size();
-  if (mOutput.Write(mDescriptor) == IoResult::kFailed ||
-      mOutput.UnbudgetedBytes() > kMaxUnreadBytes) {
+  const IoResult result = mOutput.Write(mDescriptor);
+  if (result == IoResult::kSilent) {
+    Report(ReaderEvent::kSilent, SteadyNow());
+  }
+  if (IsLost(result) || mOutput.UnbudgetedBytes() > kMaxUnreadBytes) {
     Cut();
     return;
   }
   if (mOutput.Size() < before) {
     mWrittenAt = SteadyNow();
+    mDelivery.OnWritten(mWrittenAt);
   }
   if (mOutput.IsEmpty() && mClosesAfterWrite) {
     shutdown(mDescriptor, SHUT_WR);
@@ -278,7 +367,8 @@
 void
 CallerConnection::CloseIfIdle()
 {
-  if (mDescriptor < 0 || mIsCut || mClosesAfterWrite || !IsIdle()) {
+  if (mDescriptor < 0 || mIsCut || mClosesAfterWrite || !IsIdle() ||
+      !mOutput.IsEmpty()) {
     return;
   }
   ReadAll();
@@ -301,6 +391,9 @@
   if (mIsCut) {
     End();
   }
+  if (mDescriptor >= 0) {
+    CheckDelivery(aNow);
+  }
   if (mDescriptor < 0 || mIsAnswering) {
     return;
   }
@@ -311,6 +404,9 @@
     }
   }
   if (mClosesAfterWrite || !mReader.HasBegun()) {
+    if (mDelivery.IsUndelivered()) {
+      return; // CheckDelivery ends it.
+    }
     const Duration limit =
       mClosesAfterWrite ? kLingerTimeout : mLimits.mIdleTimeout;
     if (aNow - LastActiveAt() > limit) {
@@ -412,11 +508,20 @@
     }
   }
   if (first != nullptr) {
-    first->Close();
+    first->Replace();
   }
   return first != nullptr;
 }
 
+std::size_t
+CallerPort::PausedReaders() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mConnections.begin(), mConnections.end(), [](const auto& aConnection) {
+      return aConnection->IsPaused();
+    }));
+}
+
 void
 CallerPort::OnTimer(Instant aNow)
 {
--- a/packages/relay/src/caller_response.cpp
+++ b/packages/relay/src/caller_response.cpp
@@ -14,6 +14,14 @@
   Abort();
 }
 
+void
+CallerResponse::SetRequest(std::string aId, Instant aReadUntil)
+{
+  if (mConnection != nullptr) {
+    mConnection->SetRequest(std::move(aId), aReadUntil);
+  }
+}
+
 void
 CallerResponse::Send(std::string_view aBytes)
 {
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -319,6 +319,10 @@
 {
   ServerConnectionPtr server = std::move(mServerConnection);
   mContext.mPool.Release(std::move(server));
+  if (aFailure.mIsSilent) {
+    mContext.mLog(
+      { "call-silent", mRequestId, "address=" + mCall->mAddress.mValue });
+  }
   ReportEnd(aFailure.mMayHaveSent ? RelayResult::kBroken
                                   : RelayResult::kNotSent,
             aFailure.mReason,
@@ -368,6 +372,21 @@
     mServerConnection->ResumeReading();
   }
   ReportSilence(aNow);
+  CheckServerConnection(aNow);
+}
+
+void
+Exchange::CheckServerConnection(Instant aNow)
+{
+  const bool wasPaused = mServerConnection->IsPeerPaused();
+  mServerConnection->OnTimer(aNow);
+  if (mServerConnection != nullptr && !wasPaused &&
+      mServerConnection->IsPeerPaused()) {
+    mContext.mLog({ "call-paused",
+                    mRequestId,
+                    "address=" + mCall->mAddress.mValue +
+                      " body_bytes=" + std::to_string(mRequestBody->size()) });
+  }
 }
 
 void
--- a/packages/relay/src/relay_metrics.cpp
+++ b/packages/relay/src/relay_metrics.cpp
@@ -127,6 +127,12 @@
                      .Help("Bodies that wait for memory to be read.")
                      .Register(mRegistry)
                      .Add({}))
+  , mPausedReaders(
+      prometheus::BuildGauge()
+        .Name("heatherfork_paused_readers")
+        .Help("Callers that are there but have stopped reading answers.")
+        .Register(mRegistry)
+        .Add({}))
 {
 }
 
@@ -287,14 +293,23 @@
   mWaitingBodies.Set(static_cast<double>(aCount));
 }
 
+void
+RelayMetrics::SetPausedReaders(std::size_t aCount)
+{
+  mPausedReaders.Set(static_cast<double>(aCount));
+}
+
 std::string
 RelayMetrics::Serialize() const
 {
   return prometheus::TextSerializer().Serialize(mRegistry.Collect());
 }
 
-MetricsListener::MetricsListener(std::function<std::string()> aGetMetrics)
+MetricsListener::MetricsListener(
+  std::function<std::string()> aGetMetrics,
+  std::function<void(const ReaderReport&)> aOnReader)
   : mGetMetrics(std::move(aGetMetrics))
+  , mOnReader(std::move(aOnReader))
 {
 }
 
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -63,7 +63,8 @@
                         DivideMemory(mSettings.mMemoryBytes).mAnswers) }
   , mIntake(DivideMemory(mSettings.mMemoryBytes))
   , mCallerPort(mLoop, *this, mIntake)
-  , mMetricsListener([this] { return MetricsText(); })
+  , mMetricsListener([this] { return MetricsText(); },
+                     [this](const ReaderReport& aReport) { OnReader(aReport); })
   , mMetricsPort(mLoop, mMetricsListener, mIntake)
   , mPeers(TransportSettings(mSettings), *this)
   , mStoreWatch(
@@ -285,6 +286,7 @@
   mRelayMetrics.SetMemory("answers",
                           mExchangeContext.mAnswerBudget.TakenBytes());
   mRelayMetrics.SetWaitingBodies(mIntake.Waiting());
+  mRelayMetrics.SetPausedReaders(mCallerPort.PausedReaders());
   mRelayMetrics.SetDroppedLines(mLog.Dropped());
   return mRelayMetrics.Serialize();
 }
--- a/packages/relay/src/relay_node_calls.cpp
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -19,10 +19,41 @@
   const bool isFailure =
     aEvent == "refused" || aEvent == "broken" || aEvent == "scheduler-lost" ||
     aEvent == "scheduler-silent" || aEvent == "scheduler-unreachable" ||
-    aEvent == "keys-unconfirmed";
+    aEvent == "caller-slow" || aEvent == "caller-silent" ||
+    aEvent == "call-silent" || aEvent == "keys-unconfirmed";
   return isFailure ? LogLevel::kWarning : LogLevel::kInfo;
 }
 
+const char*
+EventOf(ReaderEvent aEvent)
+{
+  switch (aEvent) {
+    case ReaderEvent::kPaused:
+      return "caller-paused";
+    case ReaderEvent::kSilent:
+      return "caller-silent";
+    case ReaderEvent::kTooLate:
+    case ReaderEvent::kNoRoom:
+      break;
+  }
+  return "caller-slow";
+}
+
+const char*
+ReasonOf(ReaderEvent aEvent)
+{
+  switch (aEvent) {
+    case ReaderEvent::kTooLate:
+      return " reason=deadline";
+    case ReaderEvent::kNoRoom:
+      return " reason=room";
+    case ReaderEvent::kPaused:
+    case ReaderEvent::kSilent:
+      break;
+  }
+  return "";
+}
+
 // A call whose response is ignored.
 class BackgroundCall final : public ExchangeListener
 {
@@ -91,6 +122,9 @@
     return;
   }
   const RelayRequest& request = std::get<RelayRequest>(read);
+  if (request.mTimeLeft > Duration{}) {
+    aResponse.SetRequest(request.mId, SteadyNow() + request.mTimeLeft);
+  }
   const CallerId caller = ++mLastCallerId;
   mExchanges[caller] = std::make_unique<Exchange>(mExchangeContext,
                                                   std::move(aResponse),
@@ -179,6 +213,20 @@
   }
 }
 
+void
+RelayNode::State::OnReader(const ReaderReport& aReport)
+{
+  const std::string address =
+    aReport.mAddress.empty() ? "" : "address=" + aReport.mAddress + " ";
+  On(RelayLogEntry{ EventOf(aReport.mEvent),
+                    aReport.mRequest,
+                    address +
+                      "unread_bytes=" + std::to_string(aReport.mUnreadBytes) +
+                      " without_progress_ms=" +
+                      std::to_string(ToMilliseconds(aReport.mWithoutProgress)) +
+                      ReasonOf(aReport.mEvent) });
+}
+
 bool
 RelayNode::State::TryAnswerInfo(CallerResponse& aResponse,
                                 const HttpHead& aHead)
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -196,7 +196,24 @@
   ExchangeListener* listener = mListener;
   mListener = nullptr;
   if (listener != nullptr) {
-    listener->OnFailed({ aReason, mMayHaveSent, mHasPeerClosed });
+    listener->OnFailed({ aReason, mMayHaveSent, mHasPeerClosed, mIsSilent });
+  }
+}
+
+void
+ServerConnection::FailSilent()
+{
+  mIsSilent = true;
+  mHasPeerClosed = true;
+  Fail("no sign of the other machine");
+}
+
+void
+ServerConnection::OnTimer(Instant aNow)
+{
+  if (mIsEstablished && mListener != nullptr &&
+      mDelivery.Check(mDescriptor, aNow) == DeliveryState::kSilent) {
+    FailSilent();
   }
 }
 
@@ -277,7 +294,16 @@
     return;
   }
   mMayHaveSent = true;
-  if (WriteParts() == IoResult::kFailed) {
+  const std::size_t before = mWrittenBytes + mWrittenBodyBytes;
+  const IoResult result = WriteParts();
+  if (mWrittenBytes + mWrittenBodyBytes > before) {
+    mDelivery.OnWritten(SteadyNow());
+  }
+  if (result == IoResult::kSilent) {
+    FailSilent();
+    return;
+  }
+  if (result == IoResult::kFailed) {
     // The other side may have answered before it stopped reading. After its
     // close, a write finds EPIPE; so does each write but the first after its
     // reset.
@@ -305,6 +331,10 @@
       }
       return;
     }
+    if (result == IoResult::kSilent) {
+      FailSilent();
+      return;
+    }
     if (result == IoResult::kFailed || (result == IoResult::kEnd && mIsReset)) {
       mHasPeerClosed = true;
       Fail("connection reset");
--- a/packages/relay/src/sockets.cpp
+++ b/packages/relay/src/sockets.cpp
@@ -5,18 +5,22 @@
 #include <cstring>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "heatherfork/detail/relay/delivery_watch.h"
+
 namespace heatherfork::relay {
 
 namespace {
 
-// A connection fails when sent data stays unacknowledged for this time. It is
-// below the shortest limit for detecting a failure.
-constexpr unsigned kUserTimeoutMs = 2000;
+// The rest of a large answer waits in this process, where its memory is
+// counted.
+constexpr int kMaxUnsentKernelBytes = 32768;
 
 constexpr std::size_t kReadBufferBytes = 16384;
 
@@ -42,6 +46,23 @@
   return reinterpret_cast<const sockaddr*>(&aSocket);
 }
 
+// Errors of a connection whose peer has stopped answering. The network may have
+// reported why.
+bool
+IsSilence(int aError)
+{
+  return aError == ETIMEDOUT || aError == EHOSTUNREACH || aError == ENETUNREACH;
+}
+
+IoResult
+ResultOf(int aError)
+{
+  if (aError == EAGAIN || aError == EWOULDBLOCK || aError == EINTR) {
+    return IoResult::kWouldBlock;
+  }
+  return IsSilence(aError) ? IoResult::kSilent : IoResult::kFailed;
+}
+
 // Returns and clears the pending error of a socket.
 int
 TakeError(int aDescriptor)
@@ -86,9 +107,10 @@
   setsockopt(aDescriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   setsockopt(aDescriptor,
              IPPROTO_TCP,
-             TCP_USER_TIMEOUT,
-             &kUserTimeoutMs,
-             sizeof(kUserTimeoutMs));
+             TCP_NOTSENT_LOWAT,
+             &kMaxUnsentKernelBytes,
+             sizeof(kMaxUnsentKernelBytes));
+  SetKernelTimeout(aDescriptor, kSilenceLimit);
   // Finds a connection that has gone silent for good, as the user timeout only
   // covers unacknowledged data.
   setsockopt(aDescriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
@@ -97,6 +119,13 @@
   }
 }
 
+void
+SetKernelTimeout(int aDescriptor, Duration aTimeout)
+{
+  const auto ms = static_cast<unsigned>(ToMilliseconds(aTimeout));
+  setsockopt(aDescriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 int
 BeginConnect(const Address& aAddress)
 {
@@ -142,6 +171,30 @@
   return TakeError(aDescriptor) == ECONNREFUSED;
 }
 
+std::size_t
+UnacknowledgedBytes(int aDescriptor)
+{
+  int count = 0;
+  return ioctl(aDescriptor, SIOCOUTQ, &count) == 0 && count > 0
+           ? static_cast<std::size_t>(count)
+           : 0;
+}
+
+std::string
+PeerAddress(int aDescriptor)
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  auto* generic = reinterpret_cast<sockaddr*>(&address);
+  std::array<char, INET_ADDRSTRLEN> host{};
+  if (getpeername(aDescriptor, generic, &size) != 0 ||
+      inet_ntop(AF_INET, &address.sin_addr, host.data(), host.size()) ==
+        nullptr) {
+    return {};
+  }
+  return host.data() + (":" + std::to_string(ntohs(address.sin_port)));
+}
+
 IoResult
 ReadSome(int aDescriptor, std::string& aBuffer)
 {
@@ -154,9 +207,7 @@
   if (count == 0) {
     return IoResult::kEnd;
   }
-  const bool shouldRetry =
-    errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-  return shouldRetry ? IoResult::kWouldBlock : IoResult::kFailed;
+  return ResultOf(errno);
 }
 
 IoResult
@@ -171,9 +222,7 @@
       aFrom += static_cast<std::size_t>(count);
       continue;
     }
-    const bool shouldRetry =
-      errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-    return shouldRetry ? IoResult::kWouldBlock : IoResult::kFailed;
+    return ResultOf(errno);
   }
   return IoResult::kOk;
 }
--- a/packages/relay/src/store_reader.cpp
+++ b/packages/relay/src/store_reader.cpp
@@ -42,6 +42,10 @@
     }
     return;
   }
+  mConnection->OnTimer(aNow);
+  if (!mIsCalling) {
+    return;
+  }
   const Duration limit = mPacing.CallTimeout(mCall.mWait);
   if (aNow - mCallStartedAt > limit) {
     mConnection->Abandon();
--- a/tests/relay/fake_store.py
+++ b/tests/relay/fake_store.py
@@ -45,12 +45,17 @@
         self.era = 1
         self.mode = ""
         self.calls = 0
+        self.connections = []  # Open ones and closed ones.
         self.changed = threading.Condition(threading.RLock())
         store = self
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
 
+            def setup(self):
+                super().setup()
+                store.connections.append(self.connection)
+
             def log_message(self, *_):
                 pass
 
