Requests sent ahead wait until earlier answers are read

Callers saw: one that sends requests ahead and reads slowly was cut once 2 MB of its answers were unread.

Cause: each request was passed on as soon as the one before it was answered, whether or not its caller read.

--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -121,6 +121,8 @@
   void Abort();
   void SetRequest(std::string aId, Instant aReadUntil);
   bool WantsClose() const { return mWantsClose; }
+  /// Whether the next request may be read.
+  bool IsReady() const { return !mIsAnswering && mOutput.IsEmpty(); }
   bool IsIdle() const { return !mIsAnswering && !mReader.HasBegun(); }
   bool HasUnread() const
   {
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -189,8 +189,7 @@
 {
   if (mDescriptor >= 0) {
     const bool wantsRead =
-      !mIsWaitingForRoom &&
-      (mInput.size() <= kMaxReadAheadBytes || !mIsAnswering);
+      !mIsWaitingForRoom && (mInput.size() <= kMaxReadAheadBytes || IsReady());
     mLoop.Set(mDescriptor, IoInterest{ wantsRead, !mOutput.IsEmpty() }, *this);
   }
 }
@@ -200,6 +199,7 @@
 {
   if (aWritable && !mIsCut) {
     Write();
+    ProcessInput();
   }
   if (mIsCut) {
     End();
@@ -230,7 +230,7 @@
       DiscardInput();
       continue;
     }
-    if (mIsCut || (mIsAnswering && mInput.size() > kMaxReadAheadBytes)) {
+    if (mIsCut || (!IsReady() && mInput.size() > kMaxReadAheadBytes)) {
       break;
     }
     ProcessInput();
@@ -251,10 +251,12 @@
   mIsProcessingInput = false;
 }
 
+// A caller that doesn't read its answers gets no further ones: they would fill
+// the memory.
 void
 CallerConnection::ProcessRequests()
 {
-  while (mDescriptor >= 0 && !mIsAnswering && !mClosesAfterWrite && !mIsCut &&
+  while (mDescriptor >= 0 && IsReady() && !mClosesAfterWrite && !mIsCut &&
          !mIsWaitingForRoom && (!mInput.empty() || mReader.IsDone())) {
     if (!mReader.HasBegun()) {
       mPeriodStart = SteadyNow();
--- a/tests/unit-caller-port.cpp
+++ b/tests/unit-caller-port.cpp
@@ -309,3 +309,40 @@
     CHECK_EQUAL_TEXT(0U, budget.TakenBytes(), row.mName);
   }
 }
+
+// Guards against answers to requests sent ahead that fill the memory, as their
+// caller reads none.
+TEST(CallerPort, RequestsSentAheadWaitUntilTheAnswersAreRead)
+{
+  constexpr std::size_t kRequests = 100;
+  constexpr std::size_t kAnswerBytes = kMebibyte;
+  Port port;
+  std::string requests;
+  for (std::size_t n = 0; n < kRequests; ++n) {
+    requests += kRequest;
+  }
+  const int caller = port.Ask(requests);
+  std::size_t answered = 0;
+  const auto answer = [&] {
+    for (; answered < port.mListener.mResponses.size(); ++answered) {
+      CallerResponse& response = port.mListener.mResponses[answered];
+      response.Send(std::string(kAnswerBytes, 'a'));
+      response.Finish(true);
+    }
+  };
+  answer();
+  port.Run();
+  answer();
+  // More is answered only as far as the kernel takes it.
+  CHECK(answered < kRequests / 2);
+  std::size_t read = 0;
+  while (read < kRequests * kAnswerBytes) {
+    const std::size_t before = read;
+    read += port.Read(caller, kAnswerBytes).size();
+    CHECK(read > before);
+    answer();
+  }
+  CHECK_EQUAL(kRequests, answered);
+  CHECK_EQUAL(kRequests * kAnswerBytes, read);
+  CHECK_EQUAL(0, port.mListener.mDisconnected);
+}
