Streams wait for paused callers, and paused callers give way for room

Callers saw: a stream cut when 2 MB of it were unread, within its deadline; and, once paused callers are kept, whole answers to others refused while paused ones held all memory for answers.

Cause: a stream was read from its replica whether or not its caller read, up to 2 MB a caller without a sum, then cut. Memory for whole answers came back only because the kernel reset each paused caller after two seconds.

Change: unread events are charged to the budget of answers, up to 2 MB a stream; with that or without room the node stops reading from the replica, and TCP holds the rest, until the caller has read all.

--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -103,6 +103,15 @@
   /// Whether the caller is there but has stopped reading.
   bool IsPaused() const { return mDescriptor >= 0 && mDelivery.IsPaused(); }
 
+  /// Memory of answers that its caller has not read.
+  std::size_t UnreadBytes() const { return mOutput.Size(); }
+
+  /// Time since the caller last read; 0 if it has read all.
+  Duration WithoutProgress(Instant aNow) const
+  {
+    return mDelivery.WithoutProgress(aNow);
+  }
+
   /// Closes the connection at once, for another one.
   void Replace();
 
@@ -198,6 +207,10 @@
   /// Closes connections that have no request in progress.
   void CloseIdle();
 
+  /// Closes the connection of the caller that has paused for the longest, of
+  /// those with unread answers. Returns false if there is none.
+  bool CloseLongestPaused();
+
   /// Callers that have stopped reading.
   std::size_t PausedReaders() const;
 
--- a/packages/relay/include/heatherfork/detail/relay/caller_response.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_response.h
@@ -42,6 +42,9 @@
   /// notices the truncation.
   void Abort();
 
+  /// Bytes of this response and earlier ones that the caller has not read.
+  std::size_t UnreadBytes() const;
+
   /// Whether the request asks to close the connection.
   bool WantsClose() const;
 
--- a/packages/relay/include/heatherfork/detail/relay/exchange.h
+++ b/packages/relay/include/heatherfork/detail/relay/exchange.h
@@ -29,6 +29,10 @@
   ConnectTimes mConnectTimes;
   std::size_t mStreamBytesPerSecond = 0; ///< Read of one stream.
   std::function<void(const RelayLogEntry&)> mLog;
+
+  /// Frees memory of answers that their callers have stopped reading. Returns
+  /// false if there are none.
+  std::function<bool()> mFreeAnswerRoom;
 };
 
 /// Runs the calls that the reducer orders for one request and sends the
@@ -86,6 +90,7 @@
   bool IsStreamCut() const;
   /// Returns false if the replica sends no events but other bytes.
   bool ForwardEvents();
+  void SendEvents(const std::string& aBytes);
   void CheckServerConnection(Instant aNow);
   void PauseIfTooFast(std::size_t aBytes, int aEvents);
   void SendHead(std::optional<std::size_t> aLength);
@@ -110,6 +115,7 @@
   int mEventsInCall = 0;
   StreamPace mPace;
   bool mHasLoggedPause = false;
+  bool mIsReaderBehind = false; ///< The replica waits for the caller.
   Instant mStartedAt{};
   Instant mLastReceivedAt{}; ///< Of body bytes, or of an event of a stream.
   Instant mSilenceReportedAt{};
--- a/packages/relay/include/heatherfork/detail/relay/reader_report.h
+++ b/packages/relay/include/heatherfork/detail/relay/reader_report.h
@@ -13,10 +13,10 @@
 /// What has happened to the connection of a reader.
 enum class ReaderEvent : std::uint8_t
 {
-  kPaused,   ///< Nothing read for kPauseLimit; the connection goes on.
-  kTooLate,  ///< Closed: paused when its request's deadline had passed.
-  kNoRoom,   ///< Closed: paused while the node needs its room.
-  kSilent,   ///< Closed: its machine does not answer any more.
+  kPaused,  ///< Nothing read for kPauseLimit; the connection goes on.
+  kTooLate, ///< Closed: paused when its request's deadline had passed.
+  kNoRoom,  ///< Closed: paused while the node needs its room.
+  kSilent,  ///< Closed: its machine does not answer any more.
 };
 
 /// One event of one reader.
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-// A caller that leaves more response data unread is disconnected.
+// A caller that leaves more unread that is not charged to a budget is
+// disconnected.
 constexpr std::size_t kMaxUnreadBytes = std::size_t{ 2 } << 20;
 
 // Bytes of the next request buffered while the current one is answered.
@@ -515,6 +516,24 @@
   return first != nullptr;
 }
 
+bool
+CallerPort::CloseLongestPaused()
+{
+  const Instant now = SteadyNow();
+  CallerConnection* first = nullptr;
+  for (const auto& connection : mConnections) {
+    if (connection->IsPaused() && connection->UnreadBytes() > 0 &&
+        (first == nullptr ||
+         connection->WithoutProgress(now) > first->WithoutProgress(now))) {
+      first = connection.get();
+    }
+  }
+  if (first != nullptr) {
+    first->Replace();
+  }
+  return first != nullptr;
+}
+
 std::size_t
 CallerPort::PausedReaders() const
 {
--- a/packages/relay/src/caller_response.cpp
+++ b/packages/relay/src/caller_response.cpp
@@ -22,6 +22,12 @@
   }
 }
 
+std::size_t
+CallerResponse::UnreadBytes() const
+{
+  return mConnection == nullptr ? 0 : mConnection->UnreadBytes();
+}
+
 void
 CallerResponse::Send(std::string_view aBytes)
 {
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -11,6 +11,9 @@
 
 constexpr int kHttpMisdirectedRequest = 421;
 
+// Of one stream whose caller reads more slowly than its replica sends.
+constexpr std::size_t kMaxUnreadStreamBytes = std::size_t{ 2 } << 20;
+
 std::string
 EncodeChunk(std::string_view aBytes)
 {
@@ -68,6 +71,7 @@
   mEventsInCall = 0;
   mPace = StreamPace(mContext.mStreamBytesPerSecond);
   mHasLoggedPause = false;
+  mIsReaderBehind = false;
   mStartedAt = aNow;
   mLastReceivedAt = aNow;
   mIsSilent = false;
@@ -157,12 +161,21 @@
          !mFlags.mIsEncoded && !mFlags.mIsNotRun && !mFlags.mIsMisdirected;
 }
 
+// Callers that have stopped reading give way to others.
 bool
 Exchange::BufferReply(std::string_view aBytes)
 {
   const std::size_t limit =
     IsDeliverable() ? mContext.mMaxAnswerBytes : kMaxInternalAnswerBytes;
-  return mReceivedBytes <= limit && mReplyBody.TryAppend(aBytes);
+  if (mReceivedBytes > limit) {
+    return false;
+  }
+  while (!mReplyBody.TryAppend(aBytes)) {
+    if (!mContext.mFreeAnswerRoom()) {
+      return false;
+    }
+  }
+  return true;
 }
 
 void
@@ -187,6 +200,30 @@
   PauseIfTooFast(aBytes.size(), mEventsInCall - eventsBefore);
 }
 
+// Events that the caller has not read are charged to the budget of answers, as
+// whole answers are. Without room, or with too many of them, the replica waits:
+// TCP holds what it sends. Streams take no room from others, as they can wait.
+void
+Exchange::SendEvents(const std::string& aBytes)
+{
+  const std::size_t unread = mResponse.UnreadBytes();
+  if (unread == 0) {
+    mResponse.Send(aBytes);
+    return;
+  }
+  BudgetedText text(mContext.mAnswerBudget);
+  const bool hasRoom = text.TryAppend(aBytes);
+  if (hasRoom) {
+    mResponse.Send(std::move(text));
+  } else {
+    mResponse.Send(aBytes);
+  }
+  if (!hasRoom || unread > kMaxUnreadStreamBytes) {
+    mIsReaderBehind = true;
+    mServerConnection->PauseReading();
+  }
+}
+
 // The replica waits for the connection meanwhile: TCP holds what it sends.
 void
 Exchange::PauseIfTooFast(std::size_t aBytes, int aEvents)
@@ -235,7 +272,7 @@
   if (!mHasSentHead) {
     SendHead(std::nullopt);
   }
-  mResponse.Send(out);
+  SendEvents(out);
   if (isFirst) {
     mContext.mPost(RelayStreamStarted{ mCall->mCall });
   }
@@ -368,7 +405,9 @@
     EndCall(RelayResult::kNotSent, "no connection in time");
     return;
   }
-  if (mServerConnection->IsReadingPaused() && mPace.MayRead(aNow)) {
+  mIsReaderBehind = mIsReaderBehind && mResponse.UnreadBytes() > 0;
+  if (mServerConnection->IsReadingPaused() && !mIsReaderBehind &&
+      mPace.MayRead(aNow)) {
     mServerConnection->ResumeReading();
   }
   ReportSilence(aNow);
--- a/packages/relay/src/relay_node.cpp
+++ b/packages/relay/src/relay_node.cpp
@@ -103,6 +103,9 @@
   });
   mExchangeContext.mStreamBytesPerSecond = mSettings.mStreamBytesPerSecond;
   mExchangeContext.mLog = [this](const RelayLogEntry& aEntry) { On(aEntry); };
+  mExchangeContext.mFreeAnswerRoom = [this] {
+    return mCallerPort.CloseLongestPaused();
+  };
   absl::Status status = mCallerPort.Start(mSettings.mCallerListen);
   for (const Address& address : mSettings.mInfoListen) {
     mInfoPorts.push_back(std::make_unique<CallerPort>(mLoop, *this, mIntake));
--- a/tests/relay/test_paused_peers.py
+++ b/tests/relay/test_paused_peers.py
@@ -6,6 +6,7 @@
 import threading
 import time
 import unittest
+from pathlib import Path
 
 from fake_replica import FakeReplica, STREAM, encode_event, encode_response
 from peer_sockets import connect_with_small_window, is_open, is_window_closed
@@ -16,6 +17,8 @@
 PAUSE_SECONDS = 5
 DEADLINE_MS = 12000
 GRACE_SECONDS = 8
+MEMORY_MB = 88
+READERS = 60
 TOKENS = "Token-Usage: 10,50\r\n"
 LARGE_BODY = b"".join(b"%07d\n" % number for number in range(1 << 19))
 
@@ -85,6 +88,8 @@
             ("small answer", "caller", timed_request("/once/x"), answer_of(SMALL_BYTES), 1, SMALL_BYTES),
             ("large answer", "caller", timed_request("/once/x"), answer_of(LARGE_BYTES), 1, LARGE_BYTES),
             ("short stream", "caller", timed_request("/stream/x"), stream_of(400), 1, 400),
+            ("long stream", "caller", timed_request("/stream/x"), stream_of(4000, 1000), 1, 4000),
+            ("resumed stream", "caller", timed_request("/resumable/x"), stream_of(4000, 1000), 1, 4000),
             ("refusals", "caller", refusals, "", 40, None),
             ("entries", "info", resolve * 60, "", 60, None),
             ("ready", "info", ready * 400, "", 400, 0),
@@ -154,6 +159,7 @@
             ("small answer", "/once/x", answer_of(SMALL_BYTES)),
             ("large answer", "/once/x", answer_of(LARGE_BYTES)),
             ("stream", "/stream/x", stream_of(400)),
+            ("long stream", "/stream/x", stream_of(4000, 1000)),
         ]
         for name, path, fault in rows:
             with self.subTest(answer=name):
@@ -190,6 +196,41 @@
                     self.assertEqual(0, self.node.process.wait(2 * GRACE_SECONDS))
                     self.assertLess(time.monotonic() - stopped_at, GRACE_SECONDS)
 
+    # Guards against paused callers that take the memory for answers of others.
+    def test_paused_callers_give_way_when_the_node_needs_room(self):
+        """Rows: what is answered, path, fault."""
+        rows = [
+            ("answers", "/once/x", answer_of(LARGE_BYTES)),
+            ("streams", "/stream/x", stream_of(4000, 1000)),
+        ]
+        for name, path, fault in rows:
+            with self.subTest(paused=name):
+                self.start("memory_mb = %d\nfile_descriptors = 1000" % MEMORY_MB)
+                self.answer_with(fault, READERS)
+                port = self.node.caller_port
+                callers = []
+                for number in range(READERS):
+                    caller = connect_with_small_window(port)
+                    self.addCleanup(caller.close)
+                    caller.sendall(timed_request(path, "p%d" % number))
+                    callers.append(caller)
+                wait_until(lambda: "event=caller-paused" in self.node.log())
+                self.answer_with(answer_of(LARGE_BYTES))
+                seen = []
+                until = time.monotonic() + 4
+                while time.monotonic() < until and not seen.count(LARGE_BYTES):
+                    seen.append(len(self.node.send_request("/often/x", "o%d" % len(seen))[2]))
+                self.assertIn(LARGE_BYTES, seen)
+                self.assertLess(self.peak_mb(), MEMORY_MB)
+                for caller in callers:
+                    caller.close()
+                self.node.stop()
+
+    def peak_mb(self):
+        status = Path("/proc/%d/status" % self.node.process.pid).read_text()
+        kb = {name: int(value) for name, value in re.findall(r"(\w+):\s+(\d+) kB", status)}
+        return (kb["VmHWM"] - kb["RssFile"]) // 1024
+
 
 class PausingReplica(FakeReplica):
     """Reads no request before it may."""
