Callers of the own interface that never read are closed at their deadline

Callers saw: nothing at first; each connection whose caller reads nothing held one thread for good, at every path, until none was left, and a planned stop waited for it for ever.

Cause: a write to a caller blocks, and nothing ended it: deadlines watched connections only while a request was read.

Change: a watch covers the writing too: until the request's deadline and half a second for the answer that says so, and for body_timeout where a request names none. A planned stop leaves answers that are being read one second. heatherfork_lost_callers_total and the log line of the request tell "caller-slow" from "caller-gone".

Before: e2e-paused_callers failed: threads were held for over 60 s by plain and by kept answers, and the process had not ended 10 s after SIGTERM. After: passes, and callers that pause for 4 s within their deadline get their answers, as before.

--- a/packages/node/include/heatherfork/detail/http/caller_server.h
+++ b/packages/node/include/heatherfork/detail/http/caller_server.h
@@ -25,6 +25,7 @@
   CallerRegistry& mCallers;
   Metrics& mMetrics;
   const DecisionLog& mDecisions;
+  ConnectionDeadlines& mDeadlines;
 };
 
 /// Listens for callers; serves each connection on its own thread.
@@ -43,7 +44,6 @@
 private:
   HttpContext mContext;
   Poco::ThreadPool mThreads;
-  ConnectionDeadlines mDeadlines;
   std::unique_ptr<Poco::Net::TCPServer> mServer;
 };
 
--- a/packages/node/include/heatherfork/detail/http/connection_deadlines.h
+++ b/packages/node/include/heatherfork/detail/http/connection_deadlines.h
@@ -10,25 +10,37 @@
 
 #include "heatherfork/time.h"
 
-/// Timeouts for receiving a request on a caller's connection.
+/// Timeouts for receiving a request and sending its answer on a caller's
+/// connection.
 namespace heatherfork::detail {
 
 /// Shuts down connections whose deadline has passed, even while bytes still
-/// arrive.
+/// arrive or a write waits for its reader.
 class ConnectionDeadlines
 {
 public:
+  /// What a watched connection is used for.
+  enum class Use : std::uint8_t
+  {
+    kReading,
+    kAnswering, ///< Kept for kLastAnswerTimeout by CloseAll.
+  };
+
   /// Applies a deadline to a connection for the lifetime of this object.
   class Watch
   {
   public:
     Watch(ConnectionDeadlines& aDeadlines,
           const Poco::Net::StreamSocket& aSocket,
-          Duration aTimeout);
+          Duration aTimeout,
+          Use aUse = Use::kReading);
     Watch(const Watch&) = delete;
     Watch& operator=(const Watch&) = delete;
     ~Watch();
 
+    /// Whether the connection was shut down at its deadline.
+    bool HasExpired() const;
+
   private:
     ConnectionDeadlines& mDeadlines;
     std::uint64_t mId;
@@ -39,8 +51,9 @@
   ConnectionDeadlines& operator=(const ConnectionDeadlines&) = delete;
   ~ConnectionDeadlines();
 
-  /// Shuts down all connections that are watched now; later ones are shut down
-  /// at the next check.
+  /// Shuts down all connections that are watched now, or lets them finish their
+  /// answers within kLastAnswerTimeout; later ones are shut down at the next
+  /// check.
   void CloseAll();
 
 private:
@@ -48,14 +61,19 @@
   {
     Poco::Net::StreamSocket mSocket;
     Instant mDeadline{};
+    Use mUse = Use::kReading;
+    bool mHasExpired = false;
   };
 
-  std::uint64_t Add(const Poco::Net::StreamSocket& aSocket, Duration aTimeout);
+  std::uint64_t Add(const Poco::Net::StreamSocket& aSocket,
+                    Duration aTimeout,
+                    Use aUse);
+  bool HasExpired(std::uint64_t aId) const;
   void Remove(std::uint64_t aId);
   void Run();
   void CloseExpired(Instant aNow);
 
-  std::mutex mMutex;
+  mutable std::mutex mMutex;
   std::condition_variable mWake;
   std::map<std::uint64_t, Watched> mWatched;
   std::uint64_t mLastId = 0;
--- a/packages/node/include/heatherfork/detail/http/work_handler.h
+++ b/packages/node/include/heatherfork/detail/http/work_handler.h
@@ -28,7 +28,13 @@
                     const Request& aRequest,
                     const Answer& aAnswer,
                     Instant aStartTime);
-  void Refuse(Poco::Net::HTTPServerResponse& aResponse, const Error& aError);
+  void RecordLoss(const std::string& aRequestId,
+                  const Request& aRequest,
+                  bool aIsSlow,
+                  Instant aStartTime);
+  void Refuse(Poco::Net::HTTPServerRequest& aRequest,
+              Poco::Net::HTTPServerResponse& aResponse,
+              const Error& aError);
 
   HttpContext mContext;
 };
--- a/packages/node/include/heatherfork/detail/metrics/metrics.h
+++ b/packages/node/include/heatherfork/detail/metrics/metrics.h
@@ -29,6 +29,9 @@
   /// Counts input that was refused before it became a request.
   void OnBadInput(ErrorCode aCode);
 
+  /// A caller got no whole answer; aReason: "caller-slow" or "caller-gone".
+  void OnLostCaller(const std::string& aReason);
+
   void SetOpenCallers(std::size_t aCount);
   void SetRevision(Revision aRevision);
 
@@ -39,6 +42,7 @@
   prometheus::Registry mRegistry;
   prometheus::Family<prometheus::Counter>& mAnswers;
   prometheus::Family<prometheus::Counter>& mBadInputs;
+  prometheus::Family<prometheus::Counter>& mLostCallers;
   prometheus::Family<prometheus::Histogram>& mFirstToken;
   prometheus::Family<prometheus::Histogram>& mDuration;
   prometheus::Gauge& mOpenCallers;
--- a/packages/node/src/http/caller_connection.cpp
+++ b/packages/node/src/http/caller_connection.cpp
@@ -117,6 +117,10 @@
 {
   const Error error = ErrorFromFault(Stream().Fault());
   mContext.mMetrics.OnBadInput(error.mCode);
+  const ConnectionDeadlines::Watch watch(mContext.mDeadlines,
+                                         socket(),
+                                         mContext.mHeaderTimeout,
+                                         ConnectionDeadlines::Use::kAnswering);
   try {
     HTTPServerResponseImpl response(aSession);
     response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
--- a/packages/node/src/http/caller_server.cpp
+++ b/packages/node/src/http/caller_server.cpp
@@ -91,7 +91,7 @@
   params->setKeepAlive(true);
   const ConnectionContext context{ params,
                                    new HandlerFactory(mContext),
-                                   mDeadlines,
+                                   mContext.mDeadlines,
                                    mContext.mMetrics,
                                    settings.mBodyTimeout };
   mServer = std::make_unique<Poco::Net::TCPServer>(
@@ -106,7 +106,7 @@
     return;
   }
   mServer->stop();
-  mDeadlines.CloseAll();
+  mContext.mDeadlines.CloseAll();
   mThreads.joinAll();
 }
 
--- a/packages/node/src/http/connection_deadlines.cpp
+++ b/packages/node/src/http/connection_deadlines.cpp
@@ -1,5 +1,7 @@
 #include "heatherfork/detail/http/connection_deadlines.h"
 
+#include <algorithm>
+
 #include <Poco/Exception.h>
 
 #include "heatherfork/detail/runtime/event_loop.h"
@@ -10,6 +12,9 @@
 
 constexpr Duration kCheckInterval = Milliseconds(50);
 
+// For callers that still read their answers when the server stops.
+constexpr Duration kLastAnswerTimeout = Milliseconds(1000);
+
 void
 ShutDown(Poco::Net::StreamSocket& aSocket)
 {
@@ -24,9 +29,10 @@
 
 ConnectionDeadlines::Watch::Watch(ConnectionDeadlines& aDeadlines,
                                   const Poco::Net::StreamSocket& aSocket,
-                                  Duration aTimeout)
+                                  Duration aTimeout,
+                                  Use aUse)
   : mDeadlines(aDeadlines)
-  , mId(aDeadlines.Add(aSocket, aTimeout))
+  , mId(aDeadlines.Add(aSocket, aTimeout, aUse))
 {
 }
 
@@ -35,6 +41,12 @@
   mDeadlines.Remove(mId);
 }
 
+bool
+ConnectionDeadlines::Watch::HasExpired() const
+{
+  return mDeadlines.HasExpired(mId);
+}
+
 ConnectionDeadlines::ConnectionDeadlines()
   : mThread([this] { Run(); })
 {
@@ -55,20 +67,35 @@
 {
   const std::lock_guard lock(mMutex);
   mIsClosing = true;
-  CloseExpired(Instant::max());
+  const Instant now = EventLoop::Now();
+  for (auto& [number, watched] : mWatched) {
+    const bool isAnswering = watched.mUse == Use::kAnswering;
+    watched.mDeadline =
+      std::min(watched.mDeadline, isAnswering ? now + kLastAnswerTimeout : now);
+  }
+  CloseExpired(now);
 }
 
 std::uint64_t
 ConnectionDeadlines::Add(const Poco::Net::StreamSocket& aSocket,
-                         Duration aTimeout)
+                         Duration aTimeout,
+                         Use aUse)
 {
   const std::lock_guard lock(mMutex);
   const Instant deadline =
     mIsClosing ? Instant::min() : EventLoop::Now() + aTimeout;
-  mWatched.emplace(++mLastId, Watched{ aSocket, deadline });
+  mWatched.emplace(++mLastId, Watched{ aSocket, deadline, aUse });
   return mLastId;
 }
 
+bool
+ConnectionDeadlines::HasExpired(std::uint64_t aId) const
+{
+  const std::lock_guard lock(mMutex);
+  const auto it = mWatched.find(aId);
+  return it != mWatched.end() && it->second.mHasExpired;
+}
+
 void
 ConnectionDeadlines::Remove(std::uint64_t aId)
 {
@@ -90,9 +117,9 @@
 ConnectionDeadlines::CloseExpired(Instant aNow)
 {
   for (auto& [number, watched] : mWatched) {
-    if (watched.mDeadline <= aNow) {
+    if (!watched.mHasExpired && watched.mDeadline <= aNow) {
       ShutDown(watched.mSocket);
-      watched.mDeadline = Instant::max();
+      watched.mHasExpired = true;
     }
   }
 }
--- a/packages/node/src/http/info_handlers.cpp
+++ b/packages/node/src/http/info_handlers.cpp
@@ -4,6 +4,7 @@
 
 #include <Poco/JSON/Array.h>
 
+#include "heatherfork/detail/http/answer_watch.h"
 #include "heatherfork/detail/http/http_input.h"
 #include "heatherfork/detail/http/http_output.h"
 #include "heatherfork/detail/http/request_reader.h"
@@ -45,6 +46,7 @@
 EntriesHandler::handleRequest(HTTPServerRequest& aRequest,
                               HTTPServerResponse& aResponse)
 {
+  const auto watch = WatchAnswer(mContext, aRequest);
   const NodeViewPtr view = mContext.mView.Get();
   if (view->mConfiguration == nullptr) {
     SendError(
@@ -83,6 +85,7 @@
 HealthHandler::handleRequest(HTTPServerRequest& aRequest,
                              HTTPServerResponse& aResponse)
 {
+  const auto watch = WatchAnswer(mContext, aRequest);
   const NodeViewPtr view = mContext.mView.Get();
   if (aRequest.getURI() == "/metrics") {
     mContext.mMetrics.SetOpenCallers(mContext.mCallers.Size());
@@ -109,6 +112,7 @@
 AdminHandler::handleRequest(HTTPServerRequest& aRequest,
                             HTTPServerResponse& aResponse)
 {
+  const auto watch = WatchAnswer(mContext, aRequest);
   if (BearerKey(aRequest) != mContext.mSettings.mAdminKey) {
     SendError(
       aResponse,
@@ -185,8 +189,10 @@
 }
 
 void
-ErrorHandler::handleRequest(HTTPServerRequest&, HTTPServerResponse& aResponse)
+ErrorHandler::handleRequest(HTTPServerRequest& aRequest,
+                            HTTPServerResponse& aResponse)
 {
+  const auto watch = WatchAnswer(mContext, aRequest);
   mContext.mMetrics.OnBadInput(mError.mCode);
   aResponse.setKeepAlive(false);
   SendError(aResponse, mError);
--- a/packages/node/src/http/work_handler.cpp
+++ b/packages/node/src/http/work_handler.cpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "heatherfork/detail/http/answer_watch.h"
 #include "heatherfork/detail/http/http_input.h"
 #include "heatherfork/detail/http/http_output.h"
 #include "heatherfork/detail/http/request_reader.h"
@@ -19,6 +20,9 @@
 // Interval at which a waiting thread checks that its caller is connected.
 constexpr Duration kCallerCheckInterval = Milliseconds(100);
 
+// After the deadline, for the answer that says that it has passed.
+constexpr Duration kLateAnswerTimeout = Milliseconds(500);
+
 /// Writes one answer, as a single body or as an event stream.
 class AnswerWriter
 {
@@ -171,7 +175,8 @@
 {
   const NodeViewPtr view = mContext.mView.Get();
   if (view->mConfiguration == nullptr) {
-    Refuse(aResponse,
+    Refuse(aRequest,
+           aResponse,
            Error{ ErrorCode::kStarting, "this node has no configuration yet" });
     return;
   }
@@ -179,14 +184,15 @@
   const Workspace* workspace =
     FindWorkspaceByKey(configuration, BearerKey(aRequest));
   if (workspace == nullptr) {
-    Refuse(aResponse,
+    Refuse(aRequest,
+           aResponse,
            Error{ ErrorCode::kUnauthorized,
                   "expected the key of a tenant as bearer" });
     return;
   }
   auto body = ReadBody(aRequest, mContext.mSettings);
   if (const Error* error = std::get_if<Error>(&body)) {
-    Refuse(aResponse, *error);
+    Refuse(aRequest, aResponse, *error);
     return;
   }
   const CallerInput input{ aRequest.getURI(),
@@ -194,7 +200,7 @@
   const auto result =
     ReadRequest(input, configuration, *workspace, EventLoop::Now());
   if (const Error* error = std::get_if<Error>(&result)) {
-    Refuse(aResponse, *error);
+    Refuse(aRequest, aResponse, *error);
     return;
   }
   Serve(std::get<Request>(result), aRequest, aResponse);
@@ -213,13 +219,18 @@
   AnswerWriter writer(aRequest, requestId, aResponse);
   CallerMonitor monitor(aHttpRequest);
   const Instant startTime = EventLoop::Now();
+  const auto watch =
+    WatchAnswer(mContext,
+                aHttpRequest,
+                aRequest.mDeadline - startTime + kLateAnswerTimeout);
   bool hasTokens = false;
   mContext.mLoop.Post(CallerRequested{ caller, aRequest });
   while (true) {
     const auto output = mailbox->Pop(kCallerCheckInterval);
     if (writer.IsBroken() || monitor.IsDisconnected() || mailbox->IsOverrun()) {
       mContext.mLoop.Post(CallerGone{ caller });
-      LogResult(requestId, aRequest, "caller-gone", 0, startTime);
+      const bool isSlow = watch.HasExpired() || mailbox->IsOverrun();
+      RecordLoss(requestId, aRequest, isSlow, startTime);
       return;
     }
     if (!output) {
@@ -228,6 +239,9 @@
     if (const auto* answer = std::get_if<AnswerCaller>(&*output)) {
       RecordAnswer(requestId, aRequest, answer->mAnswer, startTime);
       writer.Write(answer->mAnswer);
+      if (watch.HasExpired()) {
+        RecordLoss(requestId, aRequest, true, startTime);
+      }
       return;
     }
     if (!hasTokens) {
@@ -238,6 +252,18 @@
   }
 }
 
+// A caller that reads too slowly is there; one that is gone is not.
+void
+WorkHandler::RecordLoss(const std::string& aRequestId,
+                        const Request& aRequest,
+                        bool aIsSlow,
+                        Instant aStartTime)
+{
+  const char* result = aIsSlow ? "caller-slow" : "caller-gone";
+  mContext.mMetrics.OnLostCaller(result);
+  LogResult(aRequestId, aRequest, result, 0, aStartTime);
+}
+
 void
 WorkHandler::RecordAnswer(const std::string& aRequestId,
                           const Request& aRequest,
@@ -251,8 +277,11 @@
 }
 
 void
-WorkHandler::Refuse(HTTPServerResponse& aResponse, const Error& aError)
+WorkHandler::Refuse(HTTPServerRequest& aRequest,
+                    HTTPServerResponse& aResponse,
+                    const Error& aError)
 {
+  const auto watch = WatchAnswer(mContext, aRequest);
   mContext.mMetrics.OnBadInput(aError.mCode);
   aResponse.setKeepAlive(false);
   SendError(aResponse, aError);
--- a/packages/node/src/metrics/metrics.cpp
+++ b/packages/node/src/metrics/metrics.cpp
@@ -63,6 +63,11 @@
                  .Name("heatherfork_bad_inputs_total")
                  .Help("Input refused before it was a request, by error.")
                  .Register(mRegistry))
+  , mLostCallers(prometheus::BuildCounter()
+                   .Name("heatherfork_lost_callers_total")
+                   .Help("Callers that got no whole answer, as they are gone "
+                         "or read too slowly.")
+                   .Register(mRegistry))
   , mFirstToken(prometheus::BuildHistogram()
                   .Name("heatherfork_first_token_seconds")
                   .Help("Time from a request to its first token.")
@@ -112,6 +117,12 @@
     .Increment();
 }
 
+void
+Metrics::OnLostCaller(const std::string& aReason)
+{
+  mLostCallers.Add({ { "reason", aReason } }).Increment();
+}
+
 void
 Metrics::SetOpenCallers(std::size_t aCount)
 {
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -9,6 +9,7 @@
 
 #include "heatherfork/detail/http/caller_mailbox.h"
 #include "heatherfork/detail/http/caller_server.h"
+#include "heatherfork/detail/http/connection_deadlines.h"
 #include "heatherfork/detail/metrics/metrics.h"
 #include "heatherfork/detail/platform/platform_client.h"
 #include "heatherfork/detail/runtime/decision_log.h"
@@ -83,6 +84,7 @@
   ServerClient mServers;
   PlatformClient mPlatform;
   PeerTransport mPeers;
+  ConnectionDeadlines mDeadlines;
   CallerServer mCallerServer;
   bool mIsLeaving = false;
   std::mutex mMutex;
@@ -99,8 +101,13 @@
               mSettings.mVmList,
               [this](EventBody aBody) { mLoop.Post(std::move(aBody)); })
   , mPeers(MakeTransportSettings(mSettings), *this)
-  , mCallerServer(
-      HttpContext{ mSettings, mLoop, mView, mCallers, mMetrics, mDecisions })
+  , mCallerServer(HttpContext{ mSettings,
+                               mLoop,
+                               mView,
+                               mCallers,
+                               mMetrics,
+                               mDecisions,
+                               mDeadlines })
 {
 }
 
