Unread small events are held together, and a linger begins when all is read

Cause, found when the change was read again: each unread event of a stream was a part of its own, charged with its bytes but holding several times as much; a caller that had paused and then read all was closed without the linger of two seconds, which had passed meanwhile; at the own interface the answer that says that the deadline has passed had half a second, too little on a busy machine.

Change: small parts are appended to the last one, within the budget; a pause that ends counts as activity; two seconds for that answer.

--- a/packages/node/src/http/work_handler.cpp
+++ b/packages/node/src/http/work_handler.cpp
@@ -21,7 +21,7 @@
 constexpr Duration kCallerCheckInterval = Milliseconds(100);
 
 // After the deadline, for the answer that says that it has passed.
-constexpr Duration kLateAnswerTimeout = Milliseconds(500);
+constexpr Duration kLateAnswerTimeout = Milliseconds(2000);
 
 /// Writes one answer, as a single body or as an event stream.
 class AnswerWriter
--- a/packages/relay/include/heatherfork/detail/relay/caller_output.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_output.h
@@ -18,6 +18,10 @@
 public:
   void Add(std::string_view aBytes);
 
+  /// Adds bytes that remain charged to a budget until they are written. Returns
+  /// false, and adds nothing, if the budget is exhausted.
+  bool TryAdd(std::string_view aBytes, AnswerBudget& aBudget);
+
   /// Adds the body of a complete response. It remains charged to its budget
   /// until it is written.
   void Add(BudgetedText aBody);
--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -126,6 +126,7 @@
 
   void Send(std::string_view aBytes);
   void Send(BudgetedText aBody);
+  bool TrySend(std::string_view aBytes, AnswerBudget& aBudget);
   void Finish(bool aKeepOpen);
   void Abort();
   void SetRequest(std::string aId, Instant aReadUntil);
@@ -137,7 +138,10 @@
   {
     return !mOutput.IsEmpty() || mDelivery.IsUndelivered();
   }
-  Instant LastActiveAt() const { return std::max(mPeriodStart, mWrittenAt); }
+  Instant LastActiveAt() const
+  {
+    return std::max({ mPeriodStart, mWrittenAt, mReadAt });
+  }
 
   void ReadAll();
   void ProcessInput();
@@ -178,6 +182,7 @@
   bool mHasSentContinue = false;
   Instant mPeriodStart{}; ///< Start of the request or idle period.
   Instant mWrittenAt{};   ///< When the socket last accepted bytes.
+  Instant mReadAt{};      ///< When the caller read on after a pause.
   DeliveryWatch mDelivery;
   std::string mRequestId;      ///< Of the request last answered.
   Instant mReadUntil{};        ///< The caller may pause until then.
--- a/packages/relay/include/heatherfork/detail/relay/caller_response.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_response.h
@@ -31,6 +31,10 @@
   /// unread.
   void Send(std::string_view aBytes);
 
+  /// Sends a part of the response, charged to a budget until it is written.
+  /// Returns false, and sends nothing, if the budget is exhausted.
+  bool TrySend(std::string_view aBytes, AnswerBudget& aBudget);
+
   /// Sends the body of a complete response.
   void Send(BudgetedText aBody);
 
--- a/packages/relay/include/heatherfork/detail/relay/delivery_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/delivery_watch.h
@@ -85,9 +85,6 @@
   /// Time since the peer last acknowledged bytes; 0 if it has all of them.
   Duration WithoutProgress(Instant aNow) const;
 
-  /// Forgets the connection, for use with another one.
-  void Reset() { *this = DeliveryWatch(); }
-
 private:
   DeliveryState mState = DeliveryState::kDelivered;
   DeliveryProgress mProgress;
--- a/packages/relay/src/caller_output.cpp
+++ b/packages/relay/src/caller_output.cpp
@@ -33,6 +33,26 @@
   }
 }
 
+bool
+CallerOutput::TryAdd(std::string_view aBytes, AnswerBudget& aBudget)
+{
+  auto* last =
+    mParts.empty() ? nullptr : std::get_if<BudgetedText>(&mParts.back());
+  if (last != nullptr && last->Text().size() < kMaxPartBytes) {
+    if (!last->TryAppend(aBytes)) {
+      return false;
+    }
+    mBudgetedBytes += aBytes.size();
+    return true;
+  }
+  BudgetedText text(aBudget);
+  if (!text.TryAppend(aBytes)) {
+    return false;
+  }
+  Add(std::move(text));
+  return true;
+}
+
 void
 CallerOutput::Add(BudgetedText aBody)
 {
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -157,6 +157,9 @@
   switch (mDelivery.Check(mDescriptor, aNow)) {
     case DeliveryState::kDelivered:
     case DeliveryState::kUnderWay:
+      if (wasPaused) {
+        mReadAt = aNow;
+      }
       return;
     case DeliveryState::kSilent:
       Report(ReaderEvent::kSilent, aNow);
@@ -312,6 +315,18 @@
   }
 }
 
+bool
+CallerConnection::TrySend(std::string_view aBytes, AnswerBudget& aBudget)
+{
+  if (mDescriptor >= 0 && !mIsCut) {
+    if (!mOutput.TryAdd(aBytes, aBudget)) {
+      return false;
+    }
+    Write();
+  }
+  return true;
+}
+
 void
 CallerConnection::Send(BudgetedText aBody)
 {
--- a/packages/relay/src/caller_response.cpp
+++ b/packages/relay/src/caller_response.cpp
@@ -36,6 +36,12 @@
   }
 }
 
+bool
+CallerResponse::TrySend(std::string_view aBytes, AnswerBudget& aBudget)
+{
+  return mConnection == nullptr || mConnection->TrySend(aBytes, aBudget);
+}
+
 void
 CallerResponse::Send(BudgetedText aBody)
 {
--- a/packages/relay/src/exchange.cpp
+++ b/packages/relay/src/exchange.cpp
@@ -211,11 +211,8 @@
     mResponse.Send(aBytes);
     return;
   }
-  BudgetedText text(mContext.mAnswerBudget);
-  const bool hasRoom = text.TryAppend(aBytes);
-  if (hasRoom) {
-    mResponse.Send(std::move(text));
-  } else {
+  const bool hasRoom = mResponse.TrySend(aBytes, mContext.mAnswerBudget);
+  if (!hasRoom) {
     mResponse.Send(aBytes);
   }
   if (!hasRoom || unread > kMaxUnreadStreamBytes) {
