A pause is not ended by a clock of the kernel that an earlier one has left running

Cause: Linux resets its clock of a closed window (icsk_probes_tstamp) only when the first unsent segment fits the opened window or the probe timer finds nothing to do. It ran on from an earlier pause, so that TCP_USER_TIMEOUT, which the watch had set back to 2 s at the first progress, was long over.

Change: the timeout counts from the first probe that the connection may have seen, is raised from there, and is off while nothing is unacknowledged; keep-alive then finds a peer that is gone. The first check comes before the kernel's first probe. Silence of peers with bytes in flight is the program's finding as before.

Before: the new test of relay-paused_peers failed, 0.30 s into the second pause.

--- a/packages/relay/include/heatherfork/detail/relay/delivery_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/delivery_watch.h
@@ -44,8 +44,7 @@
 class DeliveryProgress
 {
 public:
-  /// Forgets the past: the peer has now been sent the first bytes that it has
-  /// not acknowledged.
+  /// The peer has now been sent the first bytes that it has not acknowledged.
   void Begin(Instant aNow);
 
   DeliveryState Update(const SendState& aState, Instant aNow);
@@ -53,7 +52,7 @@
   /// Time since the peer last acknowledged bytes.
   Duration WithoutProgress(Instant aNow) const { return aNow - mProgressAt; }
 
-  /// How long the kernel may let bytes stay unacknowledged.
+  /// How long the kernel may let bytes stay unacknowledged; 0: without limit.
   Duration KernelTimeout() const;
 
 private:
@@ -63,6 +62,11 @@
   Instant mReplyAt{};
   Instant mUnansweredSince{};
   Instant mUpdatedAt{};
+  Instant mBeganAt{};
+  bool mIsDelivered = true;
+
+  /// The kernel's clock of unanswered probes may run since then.
+  std::optional<Instant> mProbedSince;
 };
 
 /// Checks one connection now and then while it has undelivered bytes, and lets
--- a/packages/relay/include/heatherfork/detail/relay/sockets.h
+++ b/packages/relay/include/heatherfork/detail/relay/sockets.h
@@ -27,7 +27,8 @@
 SetUpConnection(int aDescriptor);
 
 /// Sets how long the kernel keeps a connection whose peer does not acknowledge
-/// what it was sent, even if it answers otherwise.
+/// what it was sent, even if it answers otherwise; 0: as long as the system's
+/// limit of retries allows.
 void
 SetKernelTimeout(int aDescriptor, Duration aTimeout);
 
--- a/packages/relay/src/delivery_watch.cpp
+++ b/packages/relay/src/delivery_watch.cpp
@@ -14,9 +14,10 @@
 
 namespace {
 
-// Most bytes are acknowledged before the first check, which then is the only
-// one.
-constexpr Duration kFirstCheckAfter = Milliseconds(500);
+// The kernel probes a closed window after this time or more. Most bytes are
+// acknowledged before the first check, which then is the only one.
+constexpr Duration kMinProbeDelay = Milliseconds(200);
+constexpr Duration kFirstCheckAfter = Milliseconds(150);
 
 // The kernel sends a probe at least once in its timeout, so a reply is seen,
 // and the timeout raised, long before the timeout ends.
@@ -52,7 +53,9 @@
 void
 DeliveryProgress::Begin(Instant aNow)
 {
-  *this = DeliveryProgress();
+  mIsKnown = false;
+  mIsDelivered = false;
+  mBeganAt = aNow;
   mProgressAt = aNow;
   mReplyAt = aNow;
   mUnansweredSince = aNow;
@@ -62,11 +65,15 @@
 DeliveryState
 DeliveryProgress::Update(const SendState& aState, Instant aNow)
 {
-  if (!aState.mHasUnacknowledged) {
-    Begin(aNow);
+  const Instant replyAt = aNow - aState.mSinceReply;
+  mIsDelivered = !aState.mHasUnacknowledged;
+  const Instant lastProbeAt = mIsDelivered ? replyAt : aNow;
+  if (!mProbedSince && lastProbeAt - mBeganAt >= kMinProbeDelay) {
+    mProbedSince = mBeganAt;
+  }
+  if (mIsDelivered) {
     return DeliveryState::kDelivered;
   }
-  const Instant replyAt = aNow - aState.mSinceReply;
   const bool hasReplied = replyAt > mReplyAt + kClockTolerance;
   if (hasReplied) {
     mReplyAt = replyAt;
@@ -89,11 +96,20 @@
                                               : DeliveryState::kUnderWay;
 }
 
-// The kernel counts from the last progress, whether the peer answers or not.
+// Linux counts from the first probe of a closed window, whether the peer
+// answers or not, and may go on counting after the peer has read on and when
+// all is acknowledged. So the timeout covers the time from the first probe that
+// the connection may have seen; without unacknowledged bytes there must be
+// none.
 Duration
 DeliveryProgress::KernelTimeout() const
 {
-  return kSilenceLimit + std::max(mReplyAt - mProgressAt, Duration{});
+  if (!mProbedSince) {
+    return kSilenceLimit;
+  }
+  return mIsDelivered
+           ? Duration{}
+           : kSilenceLimit + std::max(mReplyAt - *mProbedSince, Duration{});
 }
 
 void
@@ -115,7 +131,11 @@
   }
   mNextCheckAt = aNow + kCheckInterval;
   const auto state = ReadSendState(aDescriptor);
-  mState = state ? mProgress.Update(*state, aNow) : DeliveryState::kDelivered;
+  if (!state) {
+    mState = DeliveryState::kDelivered;
+    return mState;
+  }
+  mState = mProgress.Update(*state, aNow);
   const Duration timeout = mProgress.KernelTimeout();
   if (timeout != mKernelTimeout && mState != DeliveryState::kSilent) {
     mKernelTimeout = timeout;
--- a/tests/relay/test_paused_peers.py
+++ b/tests/relay/test_paused_peers.py
@@ -15,6 +15,9 @@
 SMALL_BYTES = 4800
 PAUSE_SECONDS = 5
 DEADLINE_MS = 12000
+LITTLE_READS = 7
+LITTLE_BYTES = 1500
+LITTLE_PAUSE_SECONDS = 1.8
 GRACE_SECONDS = 8
 MEMORY_MB = 88
 READERS = 60
@@ -116,6 +119,43 @@
                 self.assertNotIn("event=caller-silent", self.node.log())
                 self.node.stop()
 
+    # Guards against a clock of the kernel that runs on although the caller reads,
+    # and against one that a pause before has left running.
+    def test_callers_that_read_a_little_or_pause_again_get_their_answers(self):
+        self.start()
+        port = self.node.caller_port
+        results = []
+
+        def read_a_little():
+            self.answer_with(answer_of(LARGE_BYTES))
+            with connect_with_small_window(port) as caller:
+                caller.sendall(timed_request("/once/x", "little", 30000))
+                data = b""
+                for _ in range(LITTLE_READS):
+                    data += caller.recv(LITTLE_BYTES)
+                    time.sleep(LITTLE_PAUSE_SECONDS)
+                while len(data) < LARGE_BYTES:
+                    data += self.receive(caller)
+            results.append("little")
+
+        def pause_again():
+            with connect_with_small_window(port) as caller:
+                for number, seconds in enumerate((0.4, 3, 0.4, 3)):
+                    request_id = "again-%d" % number
+                    caller.sendall(timed_request("/often/x", request_id))
+                    self.pause(port, caller, seconds)
+                    self.assertEqual((200, True), read_answer(caller)[::3])
+                    time.sleep(2.5)
+            results.append("again")
+
+        threads = [threading.Thread(target=read_a_little)]
+        threads += [threading.Thread(target=pause_again) for _ in range(3)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.assertEqual(["again"] * 3 + ["little"], sorted(results), self.node.log()[-2000:])
+
     def check_answers(self, caller, answers, size, is_stream):
         data = b""
         while data.count(b"HTTP/1.1 ") < answers:
