A pause of a backend server counts from the exchange in progress

Cause, by reading: a connection that is kept between two exchanges is not checked meanwhile. One that was answered before the first check still counted as having undelivered bytes, since then, and so as paused at the first check of the next exchange: a false "call-paused", and no timeout of the kernel from then on.

Change: the answer ends the watch of what the exchange has sent.

Result: unit-server-connection's new test failed before (IsPeerPaused at the first check of the second exchange) and passes.

--- a/packages/relay/include/heatherfork/detail/relay/delivery_watch.h
+++ b/packages/relay/include/heatherfork/detail/relay/delivery_watch.h
@@ -77,6 +77,9 @@
   /// Bytes were passed to the kernel.
   void OnWritten(Instant aNow);
 
+  /// The peer has answered, so it has read what it was sent.
+  void OnAnswered() { mState = DeliveryState::kDelivered; }
+
   /// Reads the state of the connection if a check is due. Returns the state as
   /// last checked.
   DeliveryState Check(int aDescriptor, Instant aNow);
--- a/packages/relay/src/server_connection.cpp
+++ b/packages/relay/src/server_connection.cpp
@@ -96,6 +96,7 @@
   mSkippedResponses = 0;
   mSkippedBytes = 0;
   mIsReadingPaused = false;
+  mDelivery.OnAnswered();
   mReader.Reset(aIsHeadRequest);
   if (mDescriptor < 0) {
     mDescriptor = BeginConnect(mAddress);
--- a/tests/unit-server-connection.cpp
+++ b/tests/unit-server-connection.cpp
@@ -334,3 +334,32 @@
     connection.Abandon();
   }
 }
+
+// Guards against a peer that counts as paused since an earlier exchange.
+TEST(ServerConnection, PauseCountsFromTheExchangeInProgress)
+{
+  IoLoop loop;
+  Server server;
+  ServerConnection connection(loop, server.mAddress);
+  Recorder first;
+  connection.Begin(kRequest, false, first);
+  server.Accept();
+  loop.Wait(Milliseconds(1000));
+  server.ReadRequest();
+  server.Send("HTTP/1.1 200 X\r\nContent-Length: 4\r\n\r\nbody");
+  RunUntilEnd(loop, first);
+  CHECK(first.mIsDone);
+  std::this_thread::sleep_for(
+    std::chrono::microseconds((kPauseLimit + Milliseconds(100)).count()));
+  Recorder second;
+  constexpr std::size_t kUnreadBytes = std::size_t{ 16 } << 20;
+  connection.Begin(
+    kRequest, false, second, std::make_shared<std::string>(kUnreadBytes, 'b'));
+  for (int n = 0; n < 30; ++n) {
+    loop.Wait(Milliseconds(10));
+    connection.OnTimer(SteadyNow());
+    CHECK_FALSE(connection.IsPeerPaused());
+  }
+  CHECK_FALSE(second.mHasFailed);
+  connection.Abandon();
+}
