A report on a caller names its request, with or without a deadline

Cause: the id for the log was set together with the deadline, so the lines of callers that name no deadline had none. Change: the response takes the time left, 0 where none was named. Result: unit-caller-port passes; no test looks for the id.

--- a/packages/relay/include/heatherfork/detail/relay/caller_port.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_port.h
@@ -129,7 +129,7 @@
   bool TrySend(std::string_view aBytes, AnswerBudget& aBudget);
   void Finish(bool aKeepOpen);
   void Abort();
-  void SetRequest(std::string aId, Instant aReadUntil);
+  void SetRequest(std::string aId, Duration aTimeLeft);
   bool WantsClose() const { return mWantsClose; }
   /// Whether the next request may be read.
   bool IsReady() const { return !mIsAnswering && mOutput.IsEmpty(); }
--- a/packages/relay/include/heatherfork/detail/relay/caller_response.h
+++ b/packages/relay/include/heatherfork/detail/relay/caller_response.h
@@ -24,8 +24,9 @@
   CallerResponse& operator=(CallerResponse&&) = delete;
   ~CallerResponse();
 
-  /// Names the request. Its caller may pause its reading until aReadUntil.
-  void SetRequest(std::string aId, Instant aReadUntil);
+  /// Names the request, and the time for which its caller may pause its
+  /// reading; 0: the idle timeout.
+  void SetRequest(std::string aId, Duration aTimeLeft);
 
   /// Sends a part of the response. Disconnects a caller that leaves too much
   /// unread.
--- a/packages/relay/src/caller_port.cpp
+++ b/packages/relay/src/caller_port.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-// A caller that leaves more unread that is not charged to a budget is
-// disconnected.
+// A caller that leaves more unread is disconnected. What is charged to a budget
+// does not count.
 constexpr std::size_t kMaxUnreadBytes = std::size_t{ 2 } << 20;
 
 // Bytes of the next request buffered while the current one is answered.
@@ -119,18 +119,19 @@
 void
 CallerConnection::BeginAnswer()
 {
-  const Instant now = SteadyNow();
   mIsAnswering = true;
   mRequestId.clear();
   mEarlierReadUntil = mDelivery.IsUndelivered() ? mReadUntil : Instant{};
-  mReadUntil = std::max(mEarlierReadUntil, now + mLimits.mIdleTimeout);
+  mReadUntil = std::max(mEarlierReadUntil, SteadyNow() + mLimits.mIdleTimeout);
 }
 
 void
-CallerConnection::SetRequest(std::string aId, Instant aReadUntil)
+CallerConnection::SetRequest(std::string aId, Duration aTimeLeft)
 {
   mRequestId = std::move(aId);
-  mReadUntil = std::max(mEarlierReadUntil, aReadUntil);
+  if (aTimeLeft > Duration{}) {
+    mReadUntil = std::max(mEarlierReadUntil, SteadyNow() + aTimeLeft);
+  }
 }
 
 // A connection without a request has nothing to report.
--- a/packages/relay/src/caller_response.cpp
+++ b/packages/relay/src/caller_response.cpp
@@ -15,10 +15,10 @@
 }
 
 void
-CallerResponse::SetRequest(std::string aId, Instant aReadUntil)
+CallerResponse::SetRequest(std::string aId, Duration aTimeLeft)
 {
   if (mConnection != nullptr) {
-    mConnection->SetRequest(std::move(aId), aReadUntil);
+    mConnection->SetRequest(std::move(aId), aTimeLeft);
   }
 }
 
--- a/packages/relay/src/relay_node_calls.cpp
+++ b/packages/relay/src/relay_node_calls.cpp
@@ -122,9 +122,7 @@
     return;
   }
   const RelayRequest& request = std::get<RelayRequest>(read);
-  if (request.mTimeLeft > Duration{}) {
-    aResponse.SetRequest(request.mId, SteadyNow() + request.mTimeLeft);
-  }
+  aResponse.SetRequest(request.mId, request.mTimeLeft);
   const CallerId caller = ++mLastCallerId;
   mExchanges[caller] = std::make_unique<Exchange>(mExchangeContext,
                                                   std::move(aResponse),
--- a/tests/unit-caller-port.cpp
+++ b/tests/unit-caller-port.cpp
@@ -292,7 +292,7 @@
     BudgetedText body(budget);
     CHECK(body.TryAppend(std::string(kBytes, 'a')));
     CallerResponse& response = port.mListener.mResponses.front();
-    response.SetRequest("r1", SteadyNow() + Milliseconds(4000));
+    response.SetRequest("r1", Milliseconds(4000));
     response.Send(std::move(body));
     response.Finish(false);
     const std::string text = port.Read(caller, row.mReads);
