relay-workspaces waits until the paused node has stopped

Cause: SIGSTOP stops the threads of a process one by one. Beside load, requests that were sent right after it still reached a running node: answered (200), or sent and over their time when the node went on (504), where only 401 and 503 are expected. Change: the test goes on once every thread is stopped; what it expects is the same.

--- a/tests/relay/relay_nodes.py
+++ b/tests/relay/relay_nodes.py
@@ -174,6 +174,15 @@
     def send_request(self, path, request_id="r1", body=b"hello", more="", method="POST"):
         return self.call(self.caller_port, request(path, request_id, body, more, method))
 
+    def pause(self):
+        """Returns once all threads have stopped: some run on for milliseconds."""
+        self.process.send_signal(signal.SIGSTOP)
+        wait_until(self.is_paused)
+
+    def is_paused(self):
+        stats = Path("/proc/%d/task" % self.process.pid).glob("*/stat")
+        return all(stat.read_text().rsplit(")", 1)[1].split()[0] == "T" for stat in stats)
+
     def stop(self):
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
--- a/tests/relay/test_workspaces.py
+++ b/tests/relay/test_workspaces.py
@@ -212,7 +212,7 @@
     def test_a_node_that_is_paused_across_the_withdrawal(self):
         self.start_nodes(self.store)
         node = self.nodes[0]
-        node.process.send_signal(signal.SIGSTOP)
+        node.pause()
         self.store.put("op/config", configuration_with(7, self.second))
         connections = self.send_to_paused(node, 20)
         time.sleep(BOUND_SECONDS + 0.2)
